--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"bendplank/balance"
+	"limeladder/balance"
 )
 
 // A gateway passes what happened and carries out what comes back.
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"bendplank/balance"
-	"bendplank/internal/wire"
+	"limeladder/balance"
+	"limeladder/internal/wire"
 )
 
 func main() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"bendplank/balance"
+	"limeladder/balance"
 )
 
 // Batch is one line of input, its events split by instance in the order in which the instances first appear.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"bendplank/balance"
+	"limeladder/balance"
 )
 
 const start = `{"cmd":"Start","Who":"router-0","Nonce64":18446744073709551615,"Params":{"Instances":2,"Locality":"z1",` +
