--- a/balance/balance.go
+++ b/balance/balance.go
@@ -516,7 +516,12 @@
 	if ok, cost, _ := r.afford(q, n); ok {
 		n.credit -= cost
 	}
-	r.do(Send{ID: q.id, Node: n.id})
+	by := Time(0)
+	if q.class.Need == NeedBounded && n != q.group.primary && r.cfg.Checks == ChecksNone {
+		// Danger: a connection that has to be opened first delays the send, and the bound counts from there.
+		by = n.pos + q.class.Bound
+	}
+	r.do(Send{ID: q.id, Node: n.id, By: by})
 }
 
 // ---- Outcomes
--- /dev/null
+++ b/internal/clients/job.go
@@ -0,0 +1,38 @@
+package clients
+
+import (
+	"strings"
+	"time"
+
+	"limeladder/internal/pgwire"
+	"limeladder/internal/statement"
+)
+
+// Query is a simple query on its way to a db machine.
+type Query struct {
+	sql  string
+	head statement.Head
+}
+
+// Simple makes a job of a simple query, or says that it is an empty one.
+func Simple(sql string) (q *Query, blank bool) {
+	return &Query{sql: sql}, strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(sql), ";")) == ""
+}
+
+// Messages implements servers.Job: the statement as it came, but for the time that is left.
+func (q *Query) Messages(left time.Duration) []byte {
+	return pgwire.AppendQuery(nil, q.head.WithDeadline(q.sql, left))
+}
+
+// Whole implements servers.Job: one row, or the end of a statement that gives none.
+func (q *Query) Whole(types []byte) bool { return string(types) == "TDC" }
+
+// Refusal is the error of a request that never ran.
+func Refusal(after time.Duration) pgwire.Error {
+	return pgwire.Error{Code: pgwire.TooManyConnections, Message: "refused: nothing ran, come again", After: after}
+}
+
+// Failure is the error of a request that may have run.
+func Failure(why string) pgwire.Error {
+	return pgwire.Error{Code: pgwire.UnknownOutcome, Message: "failed: " + why}
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"limeladder/balance"
+)
+
+// Settings is the object that an instance is given at its start, on the simulator's wire and in EDGE_CONFIG.
+type Settings struct {
+	Instances      int
+	Locality       string
+	Discovery      string
+	ResolutionNs   int64
+	OverShareWorth float64
+	Lanes          []struct {
+		Name                      string
+		AimNs, GiveUpNs, WindowNs int64
+		AimStretch                float64
+		Importance, LateShare     float64
+		Effect, Group             string
+	}
+	Tenants []struct {
+		Name          string
+		AllowancePerS float64
+	}
+	Extra struct {
+		Guards, TokenMode string
+		LagAllowedNs      []int64
+		NeedsByClass      []string
+		OriginTimeNs      *int64
+	}
+	Limits struct {
+		Cancelling, Probes, RetryAfter bool
+		MaxRetryAfterNs                int64
+		ConnIdleNs, ConnectTimeoutNs   int64
+		MaxOpen                        int
+		MostTries                      int
+	}
+	Prices   struct{ Probe float64 }
+	Contract struct {
+		ColdNs, FallNs         int64
+		ColdFrom, FallMultiple float64
+		SoftRemoval            bool
+	}
+}
+
+var (
+	needs = map[string]balance.Need{"loose": balance.NeedAny, "recent": balance.NeedBounded,
+		"own_writes": balance.NeedSession, "latest": balance.NeedLatest, "update": balance.NeedUpdate}
+	effects = map[string]balance.Effect{"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe}
+	scopes  = map[string]balance.Scope{"": balance.ScopeAll, "cell": balance.ScopeGroup, "zone": balance.ScopeZone, "all": balance.ScopeAll}
+	checks  = map[string]balance.Checks{"": 0, "silent": balance.ChecksNone, "reject": balance.ChecksRefuse, "hold": balance.ChecksWait}
+)
+
+// Balance turns the settings into those of the decision module. Simulator and real router share it.
+func (p *Settings) Balance() (balance.Config, error) {
+	c := balance.Config{
+		Instances: p.Instances, Zone: p.Locality, OverShareWorth: p.OverShareWorth,
+		Resolution: time.Duration(p.ResolutionNs), Ask: p.Discovery == "ask",
+		ClientTokens: p.Extra.TokenMode == "client",
+		Probes:       p.Limits.Probes, ProbePrice: p.Prices.Probe, Cancel: p.Limits.Cancelling,
+		RetryAfter: p.Limits.RetryAfter, MaxRetryAfter: time.Duration(p.Limits.MaxRetryAfterNs),
+		MostTries: p.Limits.MostTries, ColdFrom: p.Contract.ColdFrom,
+		ColdFor: time.Duration(p.Contract.ColdNs), FallMultiple: p.Contract.FallMultiple,
+		FallFor: time.Duration(p.Contract.FallNs), SoftRemoval: p.Contract.SoftRemoval,
+	}
+	var ok bool
+	if c.Checks, ok = checks[p.Extra.Guards]; !ok {
+		return c, fmt.Errorf("Extra.Guards: unknown word %q", p.Extra.Guards)
+	}
+	if p.Extra.OriginTimeNs == nil {
+		return c, errors.New("Extra.OriginTimeNs: missing")
+	}
+	if len(p.Extra.NeedsByClass) != len(p.Lanes) {
+		return c, fmt.Errorf("Extra.NeedsByClass: %d values for %d classes", len(p.Extra.NeedsByClass), len(p.Lanes))
+	}
+	if n := len(p.Extra.LagAllowedNs); n != len(p.Lanes) && n != 0 {
+		return c, fmt.Errorf("Extra.LagAllowedNs: %d values for %d classes", n, len(p.Lanes))
+	}
+	for i, l := range p.Lanes {
+		k := balance.Class{Name: l.Name, Aim: time.Duration(l.AimNs), AimStretch: l.AimStretch,
+			GiveUp: time.Duration(l.GiveUpNs), Worth: l.Importance, LateShare: l.LateShare,
+			Window: time.Duration(l.WindowNs)}
+		if k.Need, ok = needs[p.Extra.NeedsByClass[i]]; !ok {
+			return c, fmt.Errorf("Extra.NeedsByClass: unknown word %q", p.Extra.NeedsByClass[i])
+		}
+		if k.Effect, ok = effects[l.Effect]; !ok {
+			return c, fmt.Errorf("Lanes.Effect: unknown word %q", l.Effect)
+		}
+		if k.Scope, ok = scopes[l.Group]; !ok {
+			return c, fmt.Errorf("Lanes.Group: unknown word %q", l.Group)
+		}
+		if len(p.Extra.LagAllowedNs) > 0 {
+			k.Bound = time.Duration(p.Extra.LagAllowedNs[i])
+		}
+		c.Classes = append(c.Classes, k)
+	}
+	for _, t := range p.Tenants {
+		c.Tenants = append(c.Tenants, balance.Tenant{Name: t.Name, Rate: t.AllowancePerS})
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,61 @@
+// Package limits holds every size, count and time that bounds the program. It is filled once at the start and
+// handed down.
+package limits
+
+import "time"
+
+// Limits bounds what the program holds and how long it waits.
+type Limits struct {
+	Memory int64 // bytes the Go runtime aims to stay under
+
+	Startup  int // bytes of a startup message
+	Message  int // bytes of any other message
+	Answer   int // bytes of an answer of a db machine
+	Buffered int // bytes that all clients together may have waiting to be read
+
+	Clients      int // connections of clients
+	Requests     int // requests in hand
+	Connections  int // connections to db machines, those being opened included
+	PerMachine   int // the same for one db machine
+	IdleMachine  int // idle connections kept to one db machine
+	Prepared     int // prepared statements and portals of one client
+	ListBytes    int // bytes of an answer of discovery
+	ListHeader   int // bytes of its header
+	LogText      int // bytes of a log line of the decision module
+	SyslogQueue  int // events waiting to be sent
+	SyslogBytes  int // bytes of one event
+	StoreEntries int // entries kept in the store's log before it is cut
+
+	Connect      time.Duration // until a db machine has welcomed a connection
+	Redial       time.Duration // after this a connection that has not come up is dialled once more
+	Probe        time.Duration // until a probe is answered
+	Idle         time.Duration // an idle connection older than this is not used
+	AnswerBefore time.Duration // the final answer comes this long before the client gives up
+	Flush        time.Duration // a connection that is to be closed may take this long to take its last answer
+	ClientStart  time.Duration // until a client has sent its startup message
+	WatchWait    time.Duration // what a watch asks discovery to wait
+	CallSlack    time.Duration // a call of discovery fails this long after its wait
+	ListFirst    time.Duration // the router is ready without a list after this
+	DrainAccept  time.Duration // connections are accepted for this long after SIGTERM
+	DrainMost    time.Duration // the program ends at the latest this long after SIGTERM
+	Sweep        time.Duration // how often idle connections are looked at
+}
+
+// For fills the limits from what the platform grants and the settings say.
+func For(memoryMB, sockets int, connect, idle, longest time.Duration) Limits {
+	// A few descriptors belong to the runtime, pollers, listeners, discovery and syslog.
+	free := sockets - 40
+	return Limits{
+		Memory: int64(memoryMB) << 20 * 3 / 4,
+
+		Startup: 10_000, Message: 192 << 10, Answer: 192 << 10, Buffered: memoryMB << 20 / 8,
+		Clients: free / 2, Connections: free * 2 / 5, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
+		Requests: 4 * free, Prepared: 256, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
+		SyslogQueue: 256, SyslogBytes: 2048, StoreEntries: 1024,
+
+		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Idle: idle * 3 / 4,
+		AnswerBefore: 10 * time.Millisecond, Flush: 500 * time.Millisecond, ClientStart: 10 * time.Second,
+		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, ListFirst: time.Second,
+		DrainAccept: 500 * time.Millisecond, DrainMost: longest + time.Second, Sweep: time.Second,
+	}
+}
--- /dev/null
+++ b/internal/list/list.go
@@ -0,0 +1,193 @@
+// Package list follows discovery's list of db machines by HTTP/1.1 watches.
+package list
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"limeladder/internal/config"
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+	"limeladder/internal/sock"
+)
+
+// Sink is told what discovery says.
+type Sink interface {
+	Listed(l config.List)
+	ListFailed()
+}
+
+// Watcher keeps one call out at a time. All of it runs in the loop's goroutine.
+type Watcher struct {
+	loop   *loop.Loop
+	engine *sock.Engine
+	lim    limits.Limits
+	log    *slog.Logger
+	addr   string
+	sink   Sink
+
+	version int64 // of the newest list, 0 = none
+	conn    *sock.Conn
+	reply   *response   // of the call that is out, nil = none
+	limit   *loop.Timer // its deadline
+	text    []byte      // the call
+	reused  bool        // it went out on a connection that had carried another
+	dials   int         // the newest dial; an older one that comes up late is closed
+	stopped bool
+}
+
+// New returns a Watcher that asks nothing before Track. version is that of the list already known.
+func New(l *loop.Loop, e *sock.Engine, lim limits.Limits, log *slog.Logger, addr string, version int64, s Sink) *Watcher {
+	return &Watcher{loop: l, engine: e, lim: lim, log: log, addr: addr, version: version, sink: s}
+}
+
+// Track starts to follow the list; after a failure it has to be called again.
+func (w *Watcher) Track() {
+	if w.reply == nil && !w.stopped {
+		w.call()
+	}
+}
+
+// Stop ends the watch.
+func (w *Watcher) Stop() {
+	w.stopped = true
+	w.drop()
+}
+
+func (w *Watcher) drop() {
+	w.dials++
+	w.limit.Stop()
+	w.reply = nil
+	if w.conn != nil {
+		w.conn.Close()
+		w.conn = nil
+	}
+}
+
+// call sends the next call, on the connection in hand or a new one.
+func (w *Watcher) call() {
+	w.reply = &response{header: w.lim.ListHeader, most: w.lim.ListBytes}
+	path, wait := "/v1/endpoints", time.Duration(0)
+	if w.version > 0 {
+		wait = w.lim.WatchWait
+		path = fmt.Sprintf("/v1/endpoints?index=%d&wait=%d", w.version, wait.Milliseconds())
+	}
+	// Guards against a cut link: a silent call must not be taken for a quiet list.
+	w.limit.Stop()
+	w.limit = w.loop.After(wait+w.lim.CallSlack, func() { w.failed(errors.New("no answer in time")) })
+	w.text = fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, w.addr)
+	if w.conn != nil {
+		w.reused = true
+		if w.conn.Write(w.text) == nil {
+			return
+		}
+		w.conn = nil
+	}
+	w.dial(w.text)
+}
+
+func (w *Watcher) dial(text []byte) {
+	w.reused = false
+	w.dials++
+	mine := w.dials
+	w.engine.Dial(w.addr, w.lim.Connect, func(c *sock.Conn, err error) sock.Handler {
+		if mine != w.dials {
+			if c != nil {
+				c.Close()
+			}
+			return &link{w, mine}
+		}
+		if err == nil {
+			err = c.Write(text)
+		}
+		if err != nil {
+			w.failed(err)
+		} else {
+			w.conn = c
+		}
+		return &link{w, mine}
+	})
+}
+
+// link is one connection to discovery.
+type link struct {
+	w    *Watcher
+	mine int
+}
+
+// Data implements sock.Handler.
+func (k *link) Data(p []byte) {
+	w := k.w
+	if k.mine != w.dials {
+		return
+	}
+	if w.reply == nil {
+		w.drop() // nothing was asked
+		return
+	}
+	whole, err := w.reply.feed(p)
+	if err != nil {
+		w.failed(err)
+	} else if whole {
+		w.answered()
+	}
+}
+
+// Closed implements sock.Handler.
+func (k *link) Closed(err error) {
+	w := k.w
+	if k.mine != w.dials {
+		return
+	}
+	w.conn = nil
+	switch {
+	case w.reply == nil:
+	case w.reply.ended():
+		w.answered()
+	case w.reused && len(w.reply.buf) == 0 && !w.reply.inBody:
+		w.dial(w.text) // discovery had closed an idle connection: that is no failure
+	default:
+		w.failed(fmt.Errorf("connection ended: %v", err))
+	}
+}
+
+func (w *Watcher) answered() {
+	r := w.reply
+	w.reply = nil
+	w.limit.Stop()
+	if r.close {
+		w.drop()
+	}
+	var l config.List
+	if r.status != 200 {
+		w.failed(fmt.Errorf("status %d", r.status))
+		return
+	}
+	if err := json.Unmarshal(r.body, &l); err != nil {
+		w.failed(fmt.Errorf("body: %w", err))
+		return
+	}
+	for i, e := range l.Servers {
+		if _, err := e.Balance(); err != nil {
+			w.failed(fmt.Errorf("servers[%d].%w", i, err))
+			return
+		}
+	}
+	w.version = l.Version
+	w.sink.Listed(l)
+	// At once: a watch goes on only if its next call comes within 200 ms.
+	if !w.stopped {
+		w.call()
+	}
+}
+
+func (w *Watcher) failed(err error) {
+	w.log.Warn("discovery failed", "err", err)
+	w.drop()
+	if !w.stopped {
+		w.sink.ListFailed()
+	}
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,138 @@
+// Package loop runs the one goroutine that owns all state of the program. Sockets hand it what has come.
+package loop
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+)
+
+// Loop calls functions one after the other, in the order of Post, and timers when they are due.
+type Loop struct {
+	start  time.Time // its monotonic part is the program's one clock
+	wake   chan struct{}
+	timers timers // owned by the goroutine of Run
+
+	mu      sync.Mutex
+	queue   []func()
+	stopped bool
+}
+
+// New reads the system's clock once; Now goes on from there without steps.
+func New() *Loop {
+	return &Loop{start: time.Now(), wake: make(chan struct{}, 1)}
+}
+
+// Now is the time since the Unix epoch on the monotonic clock.
+func (l *Loop) Now() time.Duration {
+	return time.Duration(l.start.UnixNano()) + time.Since(l.start)
+}
+
+// Post hands a function to the loop; any goroutine may call it.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.queue = append(l.queue, f)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Stop ends Run once the functions in hand are done; any goroutine may call it.
+func (l *Loop) Stop() {
+	l.Post(func() { l.stopped = true })
+}
+
+// Timer is a call to come. Its methods belong to the loop's goroutine.
+type Timer struct {
+	at    time.Duration
+	seq   uint64
+	f     func()
+	index int
+	loop  *Loop
+}
+
+// After calls f in the loop once d has passed. Only the loop's goroutine may call it.
+func (l *Loop) After(d time.Duration, f func()) *Timer {
+	l.timers.seq++
+	t := &Timer{at: l.Now() + d, seq: l.timers.seq, f: f, loop: l}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// Stop forgets the call; it may be called on nil and again.
+func (t *Timer) Stop() {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&t.loop.timers, t.index)
+	}
+}
+
+// Run works until Stop. It calls after each time all that had come is done.
+func (l *Loop) Run(after func()) {
+	var spare []func()
+	idle := time.NewTimer(time.Hour)
+	defer idle.Stop()
+	for {
+		l.mu.Lock()
+		batch := l.queue
+		l.queue = spare[:0]
+		l.mu.Unlock()
+		for i, f := range batch {
+			batch[i] = nil
+			f()
+		}
+		spare = batch
+		for now := l.Now(); len(l.timers.heap) > 0 && l.timers.heap[0].at <= now; {
+			t := heap.Pop(&l.timers).(*Timer)
+			t.f()
+		}
+		after()
+		l.mu.Lock()
+		more, stopped := len(l.queue) > 0, l.stopped
+		l.mu.Unlock()
+		if stopped {
+			return
+		}
+		if more {
+			continue
+		}
+		wait := time.Hour
+		if len(l.timers.heap) > 0 {
+			wait = max(0, l.timers.heap[0].at-l.Now())
+		}
+		idle.Reset(wait)
+		select {
+		case <-l.wake:
+		case <-idle.C:
+		}
+	}
+}
+
+type timers struct {
+	heap []*Timer
+	seq  uint64
+}
+
+func (t *timers) Len() int { return len(t.heap) }
+func (t *timers) Less(i, j int) bool {
+	a, b := t.heap[i], t.heap[j]
+	return a.at < b.at || a.at == b.at && a.seq < b.seq
+}
+func (t *timers) Swap(i, j int) {
+	t.heap[i], t.heap[j] = t.heap[j], t.heap[i]
+	t.heap[i].index, t.heap[j].index = i, j
+}
+func (t *timers) Push(x any) {
+	e := x.(*Timer)
+	e.index = len(t.heap)
+	t.heap = append(t.heap, e)
+}
+func (t *timers) Pop() any {
+	n := len(t.heap) - 1
+	e := t.heap[n]
+	t.heap[n] = nil
+	t.heap = t.heap[:n]
+	e.index = -1
+	return e
+}
--- /dev/null
+++ b/internal/router/admit.go
@@ -0,0 +1,36 @@
+package router
+
+import (
+	"hash/fnv"
+
+	"limeladder/balance"
+)
+
+// admit turns away what cannot be routed and hands the rest to the decision module.
+func (r *Router) admit(q *request) {
+	c, ok := r.classes[q.Class]
+	if !ok {
+		r.loop.Post(func() { r.fail(q, "no class of that name") })
+		return
+	}
+	if len(r.inHand) >= r.lim.Requests {
+		// Guards memory: what is beyond the limit is turned away before anything is kept of it.
+		r.loop.Post(func() { r.refuse(q, c.Aim) })
+		return
+	}
+	r.inHand[q.id] = q
+	now := r.loop.Now()
+	// The module ends what it holds in time; the timer is for attempts that are out, and guards against a
+	// request that would stay without any answer.
+	q.timer = r.loop.After(q.dieAt-now, func() { r.expire(q) })
+	e := balance.Request{ID: q.id, Class: q.Class, Group: q.Group, Expires: max(0, q.dieAt-now), Retry: q.Retry}
+	if q.Session != "" && (c.Need == balance.NeedSession || c.Need == balance.NeedUpdate) {
+		h := fnv.New64a()
+		h.Write([]byte(q.Session))
+		e.Key = int64(h.Sum64()>>11) | 1
+	}
+	if q.After > 0 {
+		e.SinceLast = max(1, now-q.After)
+	}
+	r.pending = append(r.pending, e)
+}
--- /dev/null
+++ b/internal/router/book.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"limeladder/balance"
+)
+
+// Counts is what has happened since the start.
+type Counts struct {
+	Taken, Served, Refused, Failed, Left uint64
+	Attempts                             [balance.Miss + 1]uint64
+}
+
+// Counts returns a copy of the counters.
+func (r *Router) Counts() Counts { return r.count }
+
+// book enters the end of an attempt and tells the module of it.
+func (r *Router) book(q *request, leg int, res Result) {
+	r.log.Debug("attempt", "request", q.Label, "class", q.Class, "leg", leg, "node", q.node, "status", int(res.Status),
+		"role", int(res.Role), "took", r.loop.Now()-q.sentAt)
+	if slices.Contains([]balance.Status{balance.Error, balance.TimedOut, balance.Reset, balance.Cancelled}, res.Status) {
+		q.mayRun = true
+	}
+	if res.Status == balance.Done {
+		r.serve(q, res.Answer)
+	}
+	r.outcome(q, leg, q.node, res, r.loop.Now()-q.sentAt)
+	r.forget(q)
+}
+
+func (r *Router) outcome(q *request, leg int, node string, res Result, took time.Duration) {
+	r.count.Attempts[res.Status]++
+	r.pending = append(r.pending, balance.Outcome{ID: q.id, Attempt: leg, Node: node, Status: res.Status, Took: took,
+		Finished: q.over, Role: res.Role, Position: res.Position})
+}
+
+func (r *Router) leave(q *request) {
+	r.pending = append(r.pending, balance.ClientGone{ID: q.id})
+}
+
+// forget drops a request that is answered and has nothing out.
+func (r *Router) forget(q *request) {
+	if q.over && q.call == nil {
+		q.timer.Stop()
+		q.timer = nil
+		delete(r.inHand, q.id)
+	}
+}
--- /dev/null
+++ b/internal/router/route.go
@@ -0,0 +1,52 @@
+package router
+
+import (
+	"limeladder/balance"
+)
+
+// List passes on what discovery has told.
+func (r *Router) List(l balance.List) { r.pending = append(r.pending, l) }
+
+// Step lets the decision module look at what has come and carries out what it decides. The loop calls it each
+// time all that had come is handed over.
+func (r *Router) Step() {
+	for len(r.pending) > 0 {
+		events := r.pending
+		r.pending = nil
+		for _, a := range r.module.Step(r.loop.Now(), events) {
+			r.act(a)
+		}
+	}
+}
+
+func (r *Router) act(a balance.Action) {
+	switch a := a.(type) {
+	case balance.Send:
+		if q := r.inHand[a.ID]; q != nil {
+			r.send(q, a)
+		}
+	case balance.Refuse:
+		if q := r.inHand[a.ID]; q != nil {
+			r.refuse(q, a.RetryAfter)
+		}
+	case balance.Fail:
+		if q := r.inHand[a.ID]; q != nil {
+			r.fail(q, "the request may have run")
+		}
+	case balance.Cancel:
+		if q := r.inHand[a.ID]; q != nil && q.tries-1 == a.Attempt {
+			r.cancel(q, balance.Cancelled)
+		}
+	case balance.Probe:
+		r.probe(a.Node)
+	case balance.Timer:
+		r.wake.Stop()
+		r.wake = r.loop.After(a.In, func() { r.pending = append(r.pending, balance.Wake{}) })
+	case balance.Track:
+		r.watcher.Track()
+	case balance.Log:
+		text := a.Text[:min(len(a.Text), r.lim.LogText)]
+		r.log.Info(text)
+		r.events.Event("decision", "text", text)
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,127 @@
+// Package router is the core: requests, attempts and outcomes, and no wire. A request passes the stages take in,
+// admit, route, send, relay and book, each in a file of its own. All of it runs in the loop's goroutine.
+package router
+
+import (
+	"log/slog"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+)
+
+// Job is what a front wants done. Only the front and the servers look inside.
+type Job any
+
+// Answer is what a db machine said to a job. Only the front and the servers look inside.
+type Answer any
+
+// Client is the front's side of one request; exactly one of its methods is called, once.
+type Client interface {
+	Served(Answer)
+	Refused(after time.Duration) // nothing ran: come again after this
+	Failed(why string)           // nothing is promised
+}
+
+// Request is what a front has taken.
+type Request struct {
+	Label    string // the client's own name for it, for the log
+	Class    string
+	Group    int64
+	Session  string
+	Deadline time.Duration // the client gives up this long after its send
+	At       time.Duration // when its last byte had come, on the loop's clock
+	After    time.Duration // a position that it has to see, 0 = none
+	Retry    bool
+	Job      Job
+}
+
+// Attempt is one try at one db machine.
+type Attempt struct {
+	Node  string
+	Job   Job
+	Until time.Duration // the router stops waiting then
+	By    time.Duration // not to be written later than this, 0 = no such limit
+}
+
+// Result ends an attempt or a probe.
+type Result struct {
+	Status   balance.Status
+	Role     balance.Role
+	Position time.Duration
+	Answer   Answer
+}
+
+// Call is an attempt under way.
+type Call interface {
+	// Cancel gives it up and says whether it may have reached the db machine. Its end is not reported any more.
+	Cancel() (written bool)
+}
+
+// Servers reaches the db machines.
+type Servers interface {
+	Start(a Attempt, done func(Result)) Call
+	Probe(node string, done func(Result))
+}
+
+// Watcher follows the list of db machines.
+type Watcher interface{ Track() }
+
+// Events takes what is worth telling outside; it never blocks.
+type Events interface {
+	Event(name string, pairs ...string)
+}
+
+// Router owns the decision module and all requests in hand.
+type Router struct {
+	loop    *loop.Loop
+	lim     limits.Limits
+	log     *slog.Logger
+	module  *balance.Router
+	servers Servers
+	watcher Watcher
+	events  Events
+	classes map[string]balance.Class
+
+	pending []balance.Event
+	inHand  map[string]*request
+	last    uint64 // the number of the newest request
+	wake    *loop.Timer
+	count   Counts
+}
+
+// request is one that is owed an answer, or whose attempt is still out.
+type request struct {
+	Request
+	id     string
+	client Client
+	dieAt  time.Duration
+	timer  *loop.Timer
+	tries  int
+	mayRun bool // an attempt was written that is not proved to have had no effect
+	call   Call // the attempt that is out
+	node   string
+	sentAt time.Duration
+	over   bool // answered, or its client has left
+}
+
+// New returns a Router that has yet to hear of any db machine.
+func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, cfg balance.Config, seed uint64, ev Events) (*Router, error) {
+	m, err := balance.New(cfg, seed)
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{loop: l, lim: lim, log: log, module: m, events: ev, classes: map[string]balance.Class{},
+		inHand: map[string]*request{}}
+	for _, c := range cfg.Classes {
+		r.classes[c.Name] = c
+	}
+	return r, nil
+}
+
+// Connect names the peers; it is called once, before anything else.
+func (r *Router) Connect(s Servers, w Watcher) { r.servers, r.watcher = s, w }
+
+// InHand is the number of requests that are owed an answer or have an attempt out.
+func (r *Router) InHand() int { return len(r.inHand) }
--- /dev/null
+++ b/internal/router/send.go
@@ -0,0 +1,64 @@
+package router
+
+import "limeladder/balance"
+
+// send starts the attempt that the module asked for.
+func (r *Router) send(q *request, a balance.Send) {
+	leg := q.tries
+	q.tries++
+	if q.over || q.call != nil {
+		// Guards against two attempts at once, whatever the module says.
+		r.log.Error("attempt not sent", "request", q.Label, "over", q.over, "out", q.call != nil)
+		r.outcome(q, leg, a.Node, Result{Status: balance.Skipped}, 0)
+		return
+	}
+	q.node, q.sentAt = a.Node, r.loop.Now()
+	ended := false // the servers may report the end before Start returns
+	call := r.servers.Start(Attempt{Node: a.Node, Job: q.Job, Until: q.dieAt, By: a.By}, func(res Result) {
+		ended = true
+		q.call = nil
+		r.book(q, leg, res)
+	})
+	if !ended {
+		q.call = call
+	}
+}
+
+// cancel gives up the attempt that is out.
+func (r *Router) cancel(q *request, as balance.Status) {
+	if q.call == nil {
+		return
+	}
+	call := q.call
+	q.call = nil
+	if !call.Cancel() {
+		as = balance.Skipped // never written: it proves that nothing ran
+	}
+	r.book(q, q.tries-1, Result{Status: as})
+}
+
+// expire ends a request's time.
+func (r *Router) expire(q *request) {
+	q.timer = nil
+	if q.call != nil {
+		r.cancel(q, balance.TimedOut)
+		return
+	}
+	if !q.over {
+		// The module ends what it holds well before; this guards against a request that nobody answers.
+		r.pending = append(r.pending, balance.ClientGone{ID: q.id})
+		if q.mayRun && r.classes[q.Class].Effect != balance.Safe {
+			r.fail(q, "its time is over")
+		} else {
+			r.refuse(q, 0)
+		}
+	}
+}
+
+func (r *Router) probe(node string) {
+	at := r.loop.Now()
+	r.servers.Probe(node, func(res Result) {
+		r.pending = append(r.pending, balance.ProbeResult{Node: node, Status: res.Status, Took: r.loop.Now() - at,
+			Role: res.Role, Position: res.Position})
+	})
+}
--- /dev/null
+++ b/internal/servers/conn.go
@@ -0,0 +1,286 @@
+package servers
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/loop"
+	"limeladder/internal/pgwire"
+	"limeladder/internal/router"
+	"limeladder/internal/sock"
+)
+
+// conn is a connection to a db machine. It carries one call at a time.
+type conn struct {
+	machine *machine
+	sock    *sock.Conn
+	reader  *pgwire.Reader
+	welcome *loop.Timer // until it is welcomed
+	ready   bool
+	ended   bool
+	call    *call
+	idleAt  time.Duration
+
+	// of the answer that is coming in
+	answer *Answer
+	code   string
+	role   balance.Role
+	pos    time.Duration
+}
+
+// dial opens a connection for whoever waits first.
+func (m *machine) dial() {
+	p := m.pool
+	k := &conn{machine: m, reader: pgwire.NewReader(p.lim.Message, 0)}
+	m.open++
+	m.opening++
+	p.open++
+	k.welcome = p.loop.After(p.lim.Connect, func() { k.broken() })
+	p.engine.Dial(m.addr, p.lim.Connect, func(c *sock.Conn, err error) sock.Handler {
+		if err != nil || k.ended {
+			if c != nil {
+				c.Close()
+			}
+			k.broken()
+			return k
+		}
+		k.sock = c
+		if c.Write(p.startup) != nil {
+			k.broken()
+		}
+		return k
+	})
+}
+
+// end closes the connection and takes it off the books.
+func (k *conn) end() {
+	if k.ended {
+		return
+	}
+	k.ended = true
+	k.welcome.Stop()
+	if k.sock != nil {
+		k.sock.Close()
+	}
+	m := k.machine
+	m.open--
+	m.pool.open--
+	if !k.ready {
+		m.opening--
+	}
+	for i, o := range m.idle {
+		if o == k {
+			m.idle = append(m.idle[:i], m.idle[i+1:]...)
+			break
+		}
+	}
+}
+
+// broken is the end of a connection that was not ours to choose.
+func (k *conn) broken() {
+	if k.ended {
+		return
+	}
+	k.end()
+	m := k.machine
+	if c := k.call; c != nil {
+		r := router.Result{Status: balance.Reset}
+		if k.code != "" { // a fatal error needs no ReadyForQuery
+			r = k.result()
+		} else if !k.sock.Flushed() {
+			r.Status = balance.ConnectFailed // its last byte was never written: proof that it did not run
+		}
+		k.call, c.conn = nil, nil
+		c.finish(r)
+		return
+	}
+	if k.ready {
+		return
+	}
+	// Those who wait with no connection on its way to them could not connect: nothing of them was written.
+	status := balance.ConnectFailed
+	if k.code == pgwire.TooManyConnections {
+		status = balance.Busy
+	}
+	for len(m.waiting) > m.opening {
+		c := m.waiting[0]
+		m.waiting = m.waiting[1:]
+		c.finish(router.Result{Status: status})
+	}
+}
+
+// Closed implements sock.Handler.
+func (k *conn) Closed(error) { k.broken() }
+
+// Data implements sock.Handler.
+func (k *conn) Data(p []byte) {
+	k.reader.Feed(p)
+	for !k.ended {
+		m, ok, err := k.reader.Next()
+		if err != nil {
+			k.machine.pool.log.Warn("db machine breaks the protocol", "node", k.machine.id, "err", err)
+			k.broken()
+			return
+		}
+		if !ok {
+			return
+		}
+		k.message(m)
+	}
+}
+
+func (k *conn) message(m pgwire.Message) {
+	switch m.Type {
+	case 'S':
+		if name, value, err := pgwire.Pair(m.Body); err == nil {
+			k.status(name, value)
+		}
+		return
+	case 'N', 'A', 'K':
+		return
+	}
+	if !k.ready {
+		switch m.Type {
+		case 'R':
+			if len(m.Body) != 4 || string(m.Body) != "\x00\x00\x00\x00" {
+				k.broken() // it asks for a password, which the platform does not use
+			}
+		case 'E':
+			k.failed(m)
+			k.broken()
+		case 'Z':
+			k.ready = true
+			k.machine.opening--
+			k.welcome.Stop()
+			k.free()
+		default:
+			k.broken()
+		}
+		return
+	}
+	if k.call == nil {
+		// Guards against a late or stray answer: it must not be taken for that of the next request.
+		k.broken()
+		return
+	}
+	switch m.Type {
+	case 'Z':
+		c := k.call
+		r := k.result()
+		k.call, c.conn = nil, nil
+		if len(m.Body) != 1 || m.Body[0] != 'I' || k.reader.Waiting() > 0 {
+			k.end() // an open transaction or bytes that belong to no request: not to be used again
+		} else {
+			k.free()
+		}
+		c.finish(r)
+		return
+	case 'E':
+		k.failed(m)
+	}
+	if len(k.answer.Messages)+len(m.Body) > k.machine.pool.lim.Answer {
+		k.code = pgwire.TooLarge
+		k.broken()
+		return
+	}
+	k.answer.Messages = pgwire.Append(k.answer.Messages, m.Type, m.Body)
+	k.answer.Types = append(k.answer.Types, m.Type)
+}
+
+func (k *conn) failed(m pgwire.Message) {
+	k.code = pgwire.InternalError
+	if f, err := pgwire.Fields(m.Body); err == nil && len(f['C']) == 5 {
+		k.code = f['C']
+	}
+}
+
+// status notes what an answer tells of its sender.
+func (k *conn) status(name, value string) {
+	switch name {
+	case "mode":
+		switch value {
+		case "read-write":
+			k.role = balance.RolePrimary
+		case "read-only":
+			k.role = balance.RoleReplica
+		}
+	case "wal_time":
+		if ms, err := strconv.ParseFloat(value, 64); err == nil && ms > 0 && ms < 1<<42 {
+			k.pos = time.Duration(ms) * time.Millisecond // rounded down
+		}
+	}
+}
+
+// result says how the call ended. Codes that concern the statement itself go back to the client as they came;
+// those of PROTOCOL's table are outcomes for the module.
+func (k *conn) result() router.Result {
+	r := router.Result{Role: k.role, Position: k.pos}
+	switch {
+	case k.code == "" && k.call.job.Whole(k.answer.Types):
+		r.Status, r.Answer = balance.Done, k.answer
+	case k.code == pgwire.TooManyConnections:
+		r.Status = balance.Busy
+	case k.code == pgwire.ReadOnly, k.code == pgwire.SnapshotTooOld:
+		r.Status = balance.Miss
+	case k.code != "" && strings.Contains("21 22 23 26 34 42 44 0A", k.code[:2]):
+		k.answer.Code = k.code
+		r.Status, r.Answer = balance.Done, k.answer
+	default:
+		r.Status = balance.Error
+	}
+	return r
+}
+
+// free hands the connection to whoever waits, or keeps it.
+func (k *conn) free() {
+	m, p := k.machine, k.machine.pool
+	for len(m.waiting) > 0 {
+		c := m.waiting[0]
+		m.waiting = m.waiting[1:]
+		if k.serve(c) {
+			return
+		}
+		if k.ended {
+			return
+		}
+	}
+	if p.closed || m.state != "ready" || len(m.idle) >= p.lim.IdleMachine {
+		k.end()
+		return
+	}
+	k.idleAt = p.loop.Now()
+	m.idle = append(m.idle, k)
+}
+
+// serve writes the messages of a call. False says that the call is not on this connection: either it is over, or
+// the connection broke first and the call waits for another.
+func (k *conn) serve(c *call) bool {
+	p := k.machine.pool
+	now := p.loop.Now()
+	if c.over {
+		return false
+	}
+	if c.late(now) {
+		p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
+		return false
+	}
+	k.answer, k.code, k.role, k.pos = &Answer{}, "", balance.RoleUnknown, 0
+	if err := k.sock.Write(c.job.Messages(c.until - now)); err != nil {
+		// Nothing was written whole, so the call may go out on another connection.
+		k.end()
+		if c.connect == nil {
+			return false // still with start, which goes on to the next
+		}
+		k.machine.waiting = append(k.machine.waiting, c)
+		if p.room(k.machine) {
+			k.machine.dial()
+		}
+		return false
+	}
+	c.connect.Stop()
+	c.redial.Stop()
+	k.call, c.conn = c, k
+	return true
+}
--- /dev/null
+++ b/internal/servers/probe.go
@@ -0,0 +1,58 @@
+package servers
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/pgwire"
+)
+
+// probe asks for a load report.
+type probe struct{}
+
+func (probe) Messages(time.Duration) []byte { return pgwire.AppendQuery(nil, "SHOW stats") }
+
+func (probe) Whole(types []byte) bool { return string(types) == "TDC" }
+
+// report reads role and position from a report such as x0=1767225600.123,x1=0,util=0.61.
+func report(a *Answer) (role balance.Role, pos time.Duration) {
+	r := pgwire.NewReader(len(a.Messages)+5, 0)
+	r.Feed(a.Messages)
+	for {
+		m, ok, err := r.Next()
+		if !ok || err != nil {
+			return role, pos
+		}
+		if m.Type != 'D' {
+			continue
+		}
+		row, err := pgwire.Row(m.Body)
+		if err != nil {
+			return role, pos
+		}
+		for _, value := range row {
+			text := strings.Trim(string(value), "{} ")
+			for _, part := range strings.Split(text, ",") {
+				part = strings.NewReplacer(`"`, "", ":", "=", " ", "").Replace(part)
+				name, figure, _ := strings.Cut(part, "=")
+				v, err := strconv.ParseFloat(figure, 64)
+				if err != nil || math.IsNaN(v) || v < 0 || v > 1e10 {
+					continue
+				}
+				switch name {
+				case "x0":
+					// The report is exact to the millisecond; a float64 of this size is off by far less.
+					pos = time.Duration(math.Floor(v*1e3+1e-3)) * time.Millisecond
+				case "x1":
+					role = balance.RoleReplica
+					if v == 1 {
+						role = balance.RolePrimary
+					}
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/servers/servers.go
@@ -0,0 +1,265 @@
+// Package servers holds the connections to the db machines and carries attempts and probes over them.
+package servers
+
+import (
+	"log/slog"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/config"
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+	"limeladder/internal/pgwire"
+	"limeladder/internal/router"
+	"limeladder/internal/sock"
+)
+
+// Job is what a front wants written to a db machine; router.Job holds one.
+type Job interface {
+	// Messages are the messages to write, up to the one that ends with ReadyForQuery.
+	Messages(left time.Duration) []byte
+	// Whole says whether messages of these types are a complete answer.
+	Whole(types []byte) bool
+}
+
+// Answer is what came back before ReadyForQuery, as it came, without what concerns the connection only.
+type Answer struct {
+	Messages []byte
+	Types    []byte
+	Code     string // the SQLSTATE of an error that concerns the statement, "" = none
+}
+
+// Pool holds the connections, by db machine. All of it runs in the loop's goroutine.
+type Pool struct {
+	loop     *loop.Loop
+	engine   *sock.Engine
+	lim      limits.Limits
+	log      *slog.Logger
+	startup  []byte
+	machines map[string]*machine
+	open     int // connections, those being opened included
+	closed   bool
+}
+
+type machine struct {
+	id, addr string
+	pool     *Pool
+	state    string
+	open     int
+	opening  int
+	idle     []*conn // the one used last stands last
+	waiting  []*call // for a connection
+}
+
+// New returns a Pool that knows no db machine.
+func New(l *loop.Loop, e *sock.Engine, lim limits.Limits, log *slog.Logger) *Pool {
+	p := &Pool{loop: l, engine: e, lim: lim, log: log, machines: map[string]*machine{},
+		startup: pgwire.AppendStartup(nil, "user", "portal", "database", "crm")}
+	p.sweep()
+	return p
+}
+
+// List takes the addresses that discovery names.
+func (p *Pool) List(l config.List) {
+	seen := map[string]bool{}
+	for _, e := range l.Servers {
+		seen[e.ID] = true
+		m := p.machines[e.ID]
+		if m == nil {
+			m = &machine{id: e.ID, pool: p}
+			p.machines[e.ID] = m
+		}
+		if e.Addr != "" && m.addr != e.Addr {
+			m.addr = e.Addr
+			m.hangUp()
+		}
+		if m.state = e.State; m.state != "ready" {
+			m.hangUp()
+		}
+	}
+	for id, m := range p.machines {
+		if l.Full && !seen[id] {
+			m.state = "gone"
+			m.hangUp()
+		}
+		if m.state == "gone" && m.open == 0 && len(m.waiting) == 0 {
+			delete(p.machines, id)
+		}
+	}
+}
+
+// Close ends all idle connections and keeps none from now on.
+func (p *Pool) Close() {
+	p.closed = true
+	for _, m := range p.machines {
+		m.hangUp()
+	}
+}
+
+// sweep closes connections before the db machine does: what is written to one that it has closed may have run.
+func (p *Pool) sweep() {
+	now := p.loop.Now()
+	for _, m := range p.machines {
+		for len(m.idle) > 0 && now-m.idle[0].idleAt > p.lim.Idle {
+			m.idle[0].end()
+		}
+	}
+	p.loop.After(p.lim.Sweep, p.sweep)
+}
+
+// room says whether one more connection may be opened, and closes an idle one elsewhere to make room.
+func (p *Pool) room(m *machine) bool {
+	if m.open >= p.lim.PerMachine {
+		return false
+	}
+	if p.open < p.lim.Connections {
+		return true
+	}
+	var oldest *conn
+	for _, o := range p.machines {
+		if len(o.idle) > 0 && (oldest == nil || o.idle[0].idleAt < oldest.idleAt) {
+			oldest = o.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.end()
+	return true
+}
+
+// Start implements router.Servers.
+func (p *Pool) Start(a router.Attempt, done func(router.Result)) router.Call {
+	c := &call{pool: p, job: a.Job.(Job), until: a.Until, by: a.By, done: done}
+	p.start(a.Node, c)
+	return c
+}
+
+// Probe implements router.Servers.
+func (p *Pool) Probe(node string, done func(router.Result)) {
+	c := &call{pool: p, job: probe{}, until: p.loop.Now() + p.lim.Probe}
+	c.done = func(r router.Result) {
+		c.timer.Stop()
+		if a, ok := r.Answer.(*Answer); ok && r.Status == balance.Done {
+			r.Role, r.Position = report(a)
+		}
+		done(r)
+	}
+	c.timer = p.loop.After(p.lim.Probe, func() {
+		c.Cancel()
+		if m := p.machines[node]; m != nil {
+			m.hangUp() // what is silent to a probe is silent on every connection
+		}
+		done(router.Result{Status: balance.TimedOut})
+	})
+	p.start(node, c)
+}
+
+func (p *Pool) start(node string, c *call) {
+	m := p.machines[node]
+	if m == nil || m.addr == "" {
+		p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
+		return
+	}
+	c.machine = m
+	if c.late(p.loop.Now()) {
+		p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
+		return
+	}
+	for len(m.idle) > 0 {
+		k := m.idle[len(m.idle)-1]
+		if p.loop.Now()-k.idleAt > p.lim.Idle {
+			k.end()
+			continue
+		}
+		m.idle = m.idle[:len(m.idle)-1]
+		if k.serve(c) {
+			return
+		}
+	}
+	if !p.room(m) && m.opening == 0 {
+		p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
+		return
+	}
+	m.waiting = append(m.waiting, c)
+	c.connect = p.loop.After(p.lim.Connect, func() {
+		m.drop(c)
+		c.finish(router.Result{Status: balance.ConnectFailed})
+	})
+	// Guards against a lost SYN: the system would send the next one only after a second.
+	c.redial = p.loop.After(p.lim.Redial, func() {
+		if p.room(m) {
+			m.dial()
+		}
+	})
+	if p.room(m) {
+		m.dial()
+	}
+}
+
+// call is an attempt or a probe under way. It waits for a connection, then its messages are written, then it
+// waits for the answer; it ends once.
+type call struct {
+	pool    *Pool
+	machine *machine
+	job     Job
+	until   time.Duration
+	by      time.Duration
+	done    func(router.Result)
+
+	conn            *conn // once its messages are written
+	connect, redial *loop.Timer
+	timer           *loop.Timer
+	over            bool
+}
+
+// late guards the age of data and the client's time: what opening a connection has held up for too long is not
+// sent any more.
+func (c *call) late(now time.Duration) bool { return c.by > 0 && now > c.by || now >= c.until }
+
+func (c *call) finish(r router.Result) {
+	if c.over {
+		return
+	}
+	c.over = true
+	c.connect.Stop()
+	c.redial.Stop()
+	c.done(r)
+}
+
+// Cancel implements router.Call.
+func (c *call) Cancel() (written bool) {
+	if c.over {
+		return false
+	}
+	c.over = true
+	c.connect.Stop()
+	c.redial.Stop()
+	c.timer.Stop()
+	if c.conn != nil {
+		// Guards against a late answer that meets a later request: its connection goes with it.
+		s := c.conn.sock
+		c.conn.end()
+		return s.Flushed()
+	}
+	if c.machine != nil {
+		c.machine.drop(c)
+	}
+	return false
+}
+
+func (m *machine) drop(c *call) {
+	for i, w := range m.waiting {
+		if w == c {
+			m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// hangUp closes what carries nothing.
+func (m *machine) hangUp() {
+	for len(m.idle) > 0 {
+		m.idle[0].end()
+	}
+}
--- /dev/null
+++ b/internal/sock/sock.go
@@ -0,0 +1,222 @@
+// Package sock puts nbio's sockets under the loop: whatever happens on a connection is told in the loop's
+// goroutine, in order.
+package sock
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+
+	"limeladder/internal/loop"
+)
+
+// Handler is told what happens on a connection. After Closed nothing more comes.
+type Handler interface {
+	Data(p []byte) // p is the handler's to keep
+	Closed(err error)
+}
+
+// Engine owns the poller.
+type Engine struct {
+	loop *loop.Loop
+	nb   *nbio.Engine
+}
+
+// New starts the poller. maxFiles bounds the descriptors it has room for.
+func New(l *loop.Loop, maxFiles int) (*Engine, error) {
+	logging.SetLevel(logging.LevelNone)
+	// nbio keeps a table of this many entries; its default follows the hard limit and may take 16 MB.
+	if nbio.MaxOpenFiles > maxFiles+64 {
+		nbio.MaxOpenFiles = maxFiles + 64
+	}
+	e := &Engine{loop: l, nb: nbio.NewEngine(nbio.Config{
+		NPoller:            1,
+		ReadBufferSize:     32 << 10,
+		MaxWriteBufferSize: 1 << 20, // a peer that asks and never reads is closed
+	})}
+	e.nb.OnData(func(c *nbio.Conn, data []byte) {
+		if k, ok := c.Session().(*Conn); ok {
+			p := append([]byte(nil), data...) // the poller reads into the same buffer again
+			l.Post(func() { k.data(p) })
+		}
+	})
+	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if k, ok := c.Session().(*Conn); ok {
+			k.sent.Add(int64(n))
+		}
+	})
+	e.nb.OnClose(func(c *nbio.Conn, err error) {
+		if k, ok := c.Session().(*Conn); ok {
+			l.Post(func() { k.gone(err) })
+		}
+	})
+	if err := e.nb.Start(); err != nil {
+		return nil, fmt.Errorf("poller: %w", err)
+	}
+	return e, nil
+}
+
+// Stop closes all connections and ends the poller.
+func (e *Engine) Stop() { e.nb.Stop() }
+
+// Conn is one connection. Its methods belong to the loop's goroutine.
+type Conn struct {
+	engine *Engine
+	nb     *nbio.Conn
+	h      Handler
+	closed bool
+	queued int64        // bytes handed to Write
+	sent   atomic.Int64 // bytes that the system has taken
+}
+
+func (c *Conn) data(p []byte) {
+	if !c.closed {
+		c.h.Data(p)
+	}
+}
+
+func (c *Conn) gone(err error) {
+	if !c.closed {
+		c.closed = true
+		c.h.Closed(err)
+	}
+}
+
+// Write sends p, or keeps it until the peer takes it. An error says that the connection is broken; the handler
+// is told nothing more.
+func (c *Conn) Write(p []byte) error {
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.queued += int64(len(p))
+	if _, err := c.nb.Write(p); err != nil {
+		c.closed = true
+		return err
+	}
+	return nil
+}
+
+// Close ends the connection; the handler is told nothing more.
+func (c *Conn) Close() {
+	if !c.closed {
+		c.closed = true
+		c.nb.Close()
+	}
+}
+
+// Flushed says whether the system has taken all that was written. Once the connection is closed it does not change.
+func (c *Conn) Flushed() bool { return c.sent.Load() == c.queued }
+
+// Finish closes the connection once the system has taken all that was written, or after the given time.
+func (c *Conn) Finish(within time.Duration) {
+	if c.closed {
+		return
+	}
+	if c.Flushed() || within <= 0 {
+		c.Close()
+		return
+	}
+	const step = 5 * time.Millisecond
+	c.engine.loop.After(step, func() { c.Finish(within - step) })
+}
+
+// Dial opens a connection within the given time. done is called in the loop, once; the handler it returns is told
+// what happens on the connection.
+//
+// nbio's own dial cuts the first four bytes of the sixteen that an IPv4 address has in net.IP, so whatever it is
+// given it connects to 0.0.0.0. The system's dialer connects instead and nbio takes over from there.
+func (e *Engine) Dial(addr string, within time.Duration, done func(c *Conn, err error) Handler) {
+	go func() {
+		std, err := net.DialTimeout("tcp", addr, within)
+		e.loop.Post(func() {
+			if err == nil {
+				err = e.adopt(std, func(c *Conn) Handler { return done(c, nil) })
+			}
+			if err != nil {
+				done(nil, err)
+			}
+		})
+	}()
+}
+
+// adopt hands a connection to the poller, in the loop: what the poller tells of it comes after open, which returns
+// nil to turn it away.
+func (e *Engine) adopt(std net.Conn, open func(c *Conn) Handler) error {
+	nb, err := nbio.NBConn(std)
+	if err != nil {
+		std.Close()
+		return err
+	}
+	c := &Conn{engine: e, nb: nb}
+	nb.SetSession(c)
+	if _, err := e.nb.AddConn(nb); err != nil {
+		return err
+	}
+	if c.h = open(c); c.h == nil {
+		c.h = nobody{}
+		c.Close()
+	}
+	return nil
+}
+
+// Listener accepts connections until it is closed.
+type Listener struct {
+	ln   net.Listener
+	done chan struct{}
+}
+
+// Listen accepts at addr. accept is called in the loop; it returns nil to turn the connection away.
+func (e *Engine) Listen(addr string, log *slog.Logger, accept func(c *Conn) Handler) (*Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	l := &Listener{ln: ln, done: make(chan struct{})}
+	go l.run(e, log, accept)
+	return l, nil
+}
+
+func (l *Listener) run(e *Engine, log *slog.Logger, accept func(c *Conn) Handler) {
+	defer close(l.done)
+	for {
+		std, err := l.ln.Accept()
+		if err != nil {
+			if ne, ok := err.(net.Error); ok && ne.Timeout() || !isClosed(err) {
+				// Guards against a hot loop while no descriptor is free.
+				log.Warn("accept failed", "err", err)
+				time.Sleep(5 * time.Millisecond)
+				continue
+			}
+			return
+		}
+		e.loop.Post(func() {
+			if err := e.adopt(std, accept); err != nil {
+				log.Warn("connection lost", "err", err)
+			}
+		})
+	}
+}
+
+// Addr is where it listens.
+func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
+
+// Close stops accepting.
+func (l *Listener) Close() {
+	l.ln.Close()
+	<-l.done
+}
+
+func isClosed(err error) bool {
+	op, ok := err.(*net.OpError)
+	return ok && op.Err == net.ErrClosed || err == net.ErrClosed
+}
+
+type nobody struct{}
+
+func (nobody) Data([]byte)  {}
+func (nobody) Closed(error) {}
--- /dev/null
+++ b/internal/sock/sock_test.go
@@ -0,0 +1,104 @@
+package sock
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"limeladder/internal/loop"
+)
+
+// echo sends back what comes.
+type echo struct{ c *Conn }
+
+func (e echo) Data(p []byte) { e.c.Write(p) }
+func (echo) Closed(error)    {}
+
+// sink collects what comes.
+type sink struct {
+	got  []byte
+	want int
+	done chan string
+}
+
+func (s *sink) Data(p []byte) {
+	if s.got = append(s.got, p...); len(s.got) >= s.want {
+		s.done <- "got"
+	}
+}
+func (s *sink) Closed(err error) { s.done <- "closed" }
+
+func start(t *testing.T) (*loop.Loop, *Engine) {
+	l := loop.New()
+	e, err := New(l, 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Run(func() {})
+	t.Cleanup(func() { l.Stop(); e.Stop() })
+	return l, e
+}
+
+func wait(t *testing.T, done chan string, want string) {
+	t.Helper()
+	select {
+	case got := <-done:
+		if got != want {
+			t.Fatalf("%s, not %s", got, want)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatalf("no %s", want)
+	}
+}
+
+func TestEchoOfMoreThanSocketsHold(t *testing.T) {
+	l, e := start(t)
+	ln, err := e.Listen("127.0.0.2:0", slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler { return echo{c} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	text := bytes.Repeat([]byte("limeladder"), 50_000)
+	// The address is not 127.0.0.1: a dial that loses it would come up there all the same.
+	for range 20 { // a dial that comes up at once must stay up, beyond its own time limit too
+		s := &sink{want: len(text), done: make(chan string, 9)}
+		l.Post(func() {
+			e.Dial(ln.Addr().String(), 50*time.Millisecond, func(c *Conn, err error) Handler {
+				if err != nil || c.Write(text) != nil {
+					s.done <- "failed"
+				}
+				return s
+			})
+		})
+		wait(t, s.done, "got")
+		if !bytes.Equal(s.got, text) {
+			t.Fatal("other bytes came back")
+		}
+		select {
+		case what := <-s.done:
+			t.Fatalf("%s by itself", what)
+		case <-time.After(70 * time.Millisecond):
+		}
+	}
+}
+
+func TestRefusedDialIsToldOnce(t *testing.T) {
+	l, e := start(t)
+	ln, err := e.Listen("127.0.0.2:0", slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler { return echo{c} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	s := &sink{done: make(chan string, 9)}
+	l.Post(func() {
+		e.Dial(ln.Addr().String(), time.Second, func(c *Conn, err error) Handler {
+			if err != nil || c.Write([]byte("x")) != nil {
+				s.done <- "failed"
+			}
+			return s
+		})
+	})
+	wait(t, s.done, "failed")
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"limeladder/balance"
+	"limeladder/internal/config"
 )
 
 // Batch is one line of input, its events split by instance in the order in which the instances first appear.
@@ -53,7 +54,7 @@
 	Finished, AgainByClient    bool
 	IsWrite                    bool
 	Telemetry                  map[string]float64
-	Params                     *params
+	Params                     *config.Settings
 	Members                    []rawEntry
 }
 
@@ -80,100 +81,9 @@
 	ReadyAtNs      int64
 }
 
-type params struct {
-	Instances      int
-	Locality       string
-	Discovery      string
-	ResolutionNs   int64
-	OverShareWorth float64
-	Lanes          []struct {
-		Name                      string
-		AimNs, GiveUpNs, WindowNs int64
-		AimStretch                float64
-		Importance, LateShare     float64
-		Effect, Group             string
-	}
-	Tenants []struct {
-		Name          string
-		AllowancePerS float64
-	}
-	Extra struct {
-		Guards, TokenMode string
-		LagAllowedNs      []int64
-		NeedsByClass      []string
-		OriginTimeNs      *int64
-	}
-	Limits struct {
-		Cancelling, Probes, RetryAfter bool
-		MaxRetryAfterNs                int64
-		MostTries                      int
-	}
-	Prices   struct{ Probe float64 }
-	Contract struct {
-		ColdNs, FallNs         int64
-		ColdFrom, FallMultiple float64
-		SoftRemoval            bool
-	}
-}
-
-var (
-	needs = map[string]balance.Need{"loose": balance.NeedAny, "recent": balance.NeedBounded,
-		"own_writes": balance.NeedSession, "latest": balance.NeedLatest, "update": balance.NeedUpdate}
-	effects  = map[string]balance.Effect{"safe": balance.Safe, "keyed": balance.Keyed, "unsafe": balance.Unsafe}
-	scopes   = map[string]balance.Scope{"": balance.ScopeAll, "cell": balance.ScopeGroup, "zone": balance.ScopeZone, "all": balance.ScopeAll}
-	checks   = map[string]balance.Checks{"": 0, "silent": balance.ChecksNone, "reject": balance.ChecksRefuse, "hold": balance.ChecksWait}
-	statuses = map[string]balance.Status{"done": balance.Done, "err": balance.Error, "busy": balance.Busy,
-		"etimedout": balance.TimedOut, "econnrefused": balance.ConnectFailed, "econnreset": balance.Reset,
-		"ecanceled": balance.Cancelled, "skipped": balance.Skipped, "enoent": balance.Miss}
-)
-
-func (p *params) config() (balance.Config, error) {
-	c := balance.Config{
-		Instances: p.Instances, Zone: p.Locality, OverShareWorth: p.OverShareWorth,
-		Resolution: time.Duration(p.ResolutionNs), Ask: p.Discovery == "ask",
-		ClientTokens: p.Extra.TokenMode == "client",
-		Probes:       p.Limits.Probes, ProbePrice: p.Prices.Probe, Cancel: p.Limits.Cancelling,
-		RetryAfter: p.Limits.RetryAfter, MaxRetryAfter: time.Duration(p.Limits.MaxRetryAfterNs),
-		MostTries: p.Limits.MostTries, ColdFrom: p.Contract.ColdFrom,
-		ColdFor: time.Duration(p.Contract.ColdNs), FallMultiple: p.Contract.FallMultiple,
-		FallFor: time.Duration(p.Contract.FallNs), SoftRemoval: p.Contract.SoftRemoval,
-	}
-	var ok bool
-	if c.Checks, ok = checks[p.Extra.Guards]; !ok {
-		return c, fmt.Errorf("Extra.Guards: unknown word %q", p.Extra.Guards)
-	}
-	if p.Extra.OriginTimeNs == nil {
-		return c, errors.New("Extra.OriginTimeNs: missing")
-	}
-	if len(p.Extra.NeedsByClass) != len(p.Lanes) {
-		return c, fmt.Errorf("Extra.NeedsByClass: %d values for %d classes", len(p.Extra.NeedsByClass), len(p.Lanes))
-	}
-	if n := len(p.Extra.LagAllowedNs); n != len(p.Lanes) && n != 0 {
-		return c, fmt.Errorf("Extra.LagAllowedNs: %d values for %d classes", n, len(p.Lanes))
-	}
-	for i, l := range p.Lanes {
-		k := balance.Class{Name: l.Name, Aim: time.Duration(l.AimNs), AimStretch: l.AimStretch,
-			GiveUp: time.Duration(l.GiveUpNs), Worth: l.Importance, LateShare: l.LateShare,
-			Window: time.Duration(l.WindowNs)}
-		if k.Need, ok = needs[p.Extra.NeedsByClass[i]]; !ok {
-			return c, fmt.Errorf("Extra.NeedsByClass: unknown word %q", p.Extra.NeedsByClass[i])
-		}
-		if k.Effect, ok = effects[l.Effect]; !ok {
-			return c, fmt.Errorf("Lanes.Effect: unknown word %q", l.Effect)
-		}
-		if k.Scope, ok = scopes[l.Group]; !ok {
-			return c, fmt.Errorf("Lanes.Group: unknown word %q", l.Group)
-		}
-		if len(p.Extra.LagAllowedNs) > 0 {
-			k.Bound = time.Duration(p.Extra.LagAllowedNs[i])
-		}
-		c.Classes = append(c.Classes, k)
-	}
-	for _, t := range p.Tenants {
-		c.Tenants = append(c.Tenants, balance.Tenant{Name: t.Name, Rate: t.AllowancePerS})
-	}
-	return c, nil
-}
+var statuses = map[string]balance.Status{"done": balance.Done, "err": balance.Error, "busy": balance.Busy,
+	"etimedout": balance.TimedOut, "econnrefused": balance.ConnectFailed, "econnreset": balance.Reset,
+	"ecanceled": balance.Cancelled, "skipped": balance.Skipped, "enoent": balance.Miss}
 
 // Decoder reads batches. It remembers the numbered node lists, which belong to the process.
 type Decoder struct {
@@ -259,7 +169,7 @@
 		if r.Params == nil {
 			return nil, errors.New("Params is missing")
 		}
-		c, err := r.Params.config()
+		c, err := r.Params.Balance()
 		if err != nil {
 			return nil, &ConfigError{r.Who, err}
 		}
