--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -8,6 +8,7 @@
 	"limeladder/balance"
 	"limeladder/internal/clients"
 	"limeladder/internal/config"
+	"limeladder/internal/extended"
 	"limeladder/internal/limits"
 	"limeladder/internal/list"
 	"limeladder/internal/loop"
@@ -25,17 +26,22 @@
 	core     *router.Router
 	pool     *servers.Pool
 	watcher  *list.Watcher
-	front    *clients.Front
-	listener *sock.Listener
+	fronts   []front
 	draining bool
 }
 
+// front is one address where clients connect.
+type front struct {
+	*clients.Front
+	listener *sock.Listener
+}
+
 // noEvents is used where no syslog is configured.
 type noEvents struct{}
 
 func (noEvents) Event(string, ...string) {}
 
-func newDaemon(cfg *config.Config, log *slog.Logger) (*daemon, error) {
+func newDaemon(cfg *config.Config, dep config.Deploy, log *slog.Logger) (*daemon, error) {
 	var longest time.Duration
 	for _, c := range cfg.Balance.Classes {
 		longest = max(longest, c.GiveUp)
@@ -43,6 +49,9 @@
 	d := &daemon{log: log, loop: loop.New()}
 	d.lim = limits.For(cfg.Limits.MemoryMB, cfg.Limits.Sockets, time.Duration(cfg.Settings.Limits.ConnectTimeoutNs),
 		time.Duration(cfg.Settings.Limits.ConnIdleNs), longest)
+	if dep.Extended.Listen != "" {
+		d.lim.Clients /= 2 // both fronts share the descriptors
+	}
 	var err error
 	if d.engine, err = sock.New(d.loop, cfg.Limits.Sockets); err != nil {
 		return nil, err
@@ -57,9 +66,13 @@
 	}
 	d.watcher = list.New(d.loop, d.engine, d.lim, log, cfg.Discovery, version, d)
 	d.core.Connect(d.pool, d.watcher)
-	d.front = clients.New(d.loop, d.lim, log, d.core)
-	if d.listener, err = d.engine.Listen(cfg.Listen, log, d.front.Accept); err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	if err := d.listen("listen", cfg.Listen, clients.Platform); err != nil {
+		return nil, err
+	}
+	if dep.Extended.Listen != "" {
+		if err := d.listen("extended.listen", dep.Extended.Listen, extended.New(d.core)); err != nil {
+			return nil, err
+		}
 	}
 	known := config.List{}
 	if cfg.Known != nil {
@@ -68,16 +81,39 @@
 	d.loop.Post(func() {
 		d.listed(known, balance.ListCached)
 		d.watcher.Track()
-		d.loop.After(d.lim.ListFirst, d.front.Ready)
+		d.loop.After(d.lim.ListFirst, d.ready)
 	})
 	return d, nil
 }
 
+func (d *daemon) listen(field, addr string, speak func(*clients.Conn) clients.Speaker) error {
+	f := clients.New(d.loop, d.lim, d.log, d.core, speak)
+	l, err := d.engine.Listen(addr, d.log, f.Accept)
+	if err != nil {
+		return fmt.Errorf("%s: %w", field, err)
+	}
+	d.log.Info("listening", "front", field, "addr", l.Addr().String())
+	d.fronts = append(d.fronts, front{f, l})
+	return nil
+}
+
+func (d *daemon) ready() {
+	for _, f := range d.fronts {
+		f.Ready()
+	}
+}
+
+func (d *daemon) open() (n int) {
+	for _, f := range d.fronts {
+		n += f.Open()
+	}
+	return n
+}
+
 func (d *daemon) run() {
-	d.log.Info("listening", "addr", d.listener.Addr())
 	d.loop.Run(func() {
 		d.core.Step()
-		if d.draining && d.core.InHand() == 0 && d.front.Open() == 0 {
+		if d.draining && d.core.InHand() == 0 && d.open() == 0 {
 			d.loop.Stop()
 		}
 	})
@@ -93,7 +129,7 @@
 		kind = balance.ListFull
 	}
 	d.listed(l, kind)
-	d.front.Ready()
+	d.ready()
 }
 
 func (d *daemon) listed(l config.List, kind balance.ListKind) {
@@ -120,12 +156,18 @@
 		return
 	}
 	d.log.Info("draining")
-	d.front.Drain()
+	for _, f := range d.fronts {
+		f.Drain()
+	}
 	d.loop.After(d.lim.DrainAccept, func() {
-		d.listener.Close()
-		// What the listener had taken is in the loop's queue: look at it first.
+		for _, f := range d.fronts {
+			f.listener.Close()
+		}
+		// What the listeners had taken is in the loop's queue: look at it first.
 		d.loop.Post(func() {
-			d.front.Finish()
+			for _, f := range d.fronts {
+				f.Finish()
+			}
 			d.draining = true
 		})
 	})
--- a/cmd/limeladder/main.go
+++ b/cmd/limeladder/main.go
@@ -19,6 +19,15 @@
 		fmt.Fprintln(os.Stderr, "limeladder:", err)
 		os.Exit(2)
 	}
+	path := os.Getenv("LIMELADDER_DEPLOY")
+	if path == "" {
+		path = "deploy/limeladder.toml"
+	}
+	dep, err := config.LoadDeploy(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "limeladder:", err)
+		os.Exit(2)
+	}
 	level := slog.LevelInfo
 	if os.Getenv("LIMELADDER_LOG") == "debug" {
 		level = slog.LevelDebug
@@ -27,7 +36,7 @@
 	// The poller waits in a system call that holds its processor for a while: with one alone the loop would wait
 	// with it. The platform's share of a core binds all the same.
 	runtime.GOMAXPROCS(2)
-	d, err := newDaemon(cfg, log)
+	d, err := newDaemon(cfg, dep, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "limeladder:", err)
 		os.Exit(1)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -1,5 +1,5 @@
-// Package clients is the thin front for the platform's protocol: simple queries, one statement each, over plain
-// PostgreSQL connections.
+// Package clients holds the connections of clients, and is the thin front for the platform's protocol: simple
+// queries, one statement each, over plain PostgreSQL connections.
 package clients
 
 import (
@@ -11,9 +11,7 @@
 	"limeladder/internal/loop"
 	"limeladder/internal/pgwire"
 	"limeladder/internal/router"
-	"limeladder/internal/servers"
 	"limeladder/internal/sock"
-	"limeladder/internal/statement"
 )
 
 // Core takes requests.
@@ -22,21 +20,30 @@
 	Leave(id string)
 }
 
+// Speaker works on the messages of one connection.
+type Speaker interface {
+	// Message takes the next message; it is not called while a request is in hand. An error ends the connection.
+	Message(m pgwire.Message) error
+	// Idle says that the client has asked for nothing that is still to be answered.
+	Idle() bool
+}
+
 // Front holds the connections of clients. All of it runs in the loop's goroutine.
 type Front struct {
 	loop     *loop.Loop
 	lim      limits.Limits
 	log      *slog.Logger
 	core     Core
+	speak    func(*Conn) Speaker
 	ready    bool
 	draining bool
-	conns    map[*conn]struct{}
+	conns    map[*Conn]struct{}
 	buffered int // bytes of all clients that wait to be read
 }
 
-// New returns a Front that is not ready yet.
-func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, c Core) *Front {
-	return &Front{loop: l, lim: lim, log: log, core: c, conns: map[*conn]struct{}{}}
+// New returns a Front that is not ready yet. speak makes the Speaker of each connection.
+func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, c Core, speak func(*Conn) Speaker) *Front {
+	return &Front{loop: l, lim: lim, log: log, core: c, speak: speak, conns: map[*Conn]struct{}{}}
 }
 
 // Ready says that empty queries may be answered from now on: the platform sends clients after that.
@@ -49,9 +56,10 @@
 			Message: "too many connections", After: time.Second}))
 		return nil
 	}
-	c := &conn{front: f, sock: s, reader: pgwire.NewReader(f.lim.Message, f.lim.Startup)}
+	c := &Conn{front: f, sock: s, reader: pgwire.NewReader(f.lim.Message, f.lim.Startup)}
+	c.speaker = f.speak(c)
 	f.conns[c] = struct{}{}
-	c.start = f.loop.After(f.lim.ClientStart, func() { c.end() })
+	c.start = f.loop.After(f.lim.ClientStart, c.End)
 	return c
 }
 
@@ -67,7 +75,7 @@
 func (f *Front) Finish() {
 	for c := range f.conns {
 		if c.request == "" {
-			c.end()
+			c.End()
 		}
 	}
 }
@@ -75,20 +83,22 @@
 // Open is the number of connections.
 func (f *Front) Open() int { return len(f.conns) }
 
-type conn struct {
+// Conn is one connection of a client.
+type Conn struct {
 	front   *Front
+	speaker Speaker
 	sock    *sock.Conn
 	reader  *pgwire.Reader
 	start   *loop.Timer
 	started bool
 	ended   bool
-	skip    bool   // an extended message was turned away: all up to Sync is passed over
 	request string // the core's handle of the request in hand
 	held    int    // its share of front.buffered
 	cameAt  time.Duration
 }
 
-func (c *conn) end() {
+// End closes the connection.
+func (c *Conn) End() {
 	if c.ended {
 		return
 	}
@@ -98,7 +108,7 @@
 	c.gone()
 }
 
-func (c *conn) gone() {
+func (c *Conn) gone() {
 	f := c.front
 	delete(f.conns, c)
 	f.buffered -= c.held
@@ -110,7 +120,7 @@
 }
 
 // Closed implements sock.Handler.
-func (c *conn) Closed(error) {
+func (c *Conn) Closed(error) {
 	if !c.ended {
 		c.ended = true
 		c.start.Stop()
@@ -119,7 +129,7 @@
 }
 
 // Data implements sock.Handler.
-func (c *conn) Data(p []byte) {
+func (c *Conn) Data(p []byte) {
 	c.cameAt = c.front.loop.Now()
 	c.reader.Feed(p)
 	c.read()
@@ -135,7 +145,7 @@
 }
 
 // read works on what has come until a request is in hand.
-func (c *conn) read() {
+func (c *Conn) read() {
 	for !c.ended && c.request == "" {
 		m, ok, err := c.reader.Next()
 		if err != nil {
@@ -148,7 +158,7 @@
 		if !c.started {
 			err = c.startup(m.Body)
 		} else {
-			err = c.message(m)
+			err = c.speaker.Message(m)
 		}
 		if err != nil {
 			c.fatal(pgwire.ProtocolViolation, err.Error())
@@ -156,37 +166,59 @@
 	}
 }
 
-// write sends p; a broken connection is the client's leaving.
-func (c *conn) write(p []byte) {
+// Write sends p; a broken connection is the client's leaving.
+func (c *Conn) Write(p []byte) {
 	if !c.ended && c.sock.Write(p) != nil {
-		c.end()
+		c.End()
 	}
 }
 
-func (c *conn) fatal(code, text string) {
-	c.write(pgwire.AppendError(nil, pgwire.Error{Fatal: true, Code: code, Message: text}))
-	c.end()
+func (c *Conn) fatal(code, text string) {
+	c.Write(pgwire.AppendError(nil, pgwire.Error{Fatal: true, Code: code, Message: text}))
+	c.End()
 }
 
 // rest closes a connection between requests when the program is about to end.
-func (c *conn) rest() {
-	if c.front.draining && c.started && !c.ended && c.request == "" && c.reader.Waiting() == 0 {
-		c.end()
+func (c *Conn) rest() {
+	if c.front.draining && c.started && !c.ended && c.request == "" && c.reader.Waiting() == 0 && c.speaker.Idle() {
+		c.End()
 	}
 }
 
+// CameAt is when the message in hand had come.
+func (c *Conn) CameAt() time.Duration { return c.cameAt }
+
+// Limits are those of the program.
+func (c *Conn) Limits() limits.Limits { return c.front.lim }
+
+// Take hands a request to the core; until Done no further message is read.
+func (c *Conn) Take(q router.Request, to router.Client) { c.request = c.front.core.Take(q, to) }
+
+// Done ends the request in hand. next, if any, is called before what was sent behind the request is read.
+func (c *Conn) Done(next func() error) {
+	c.request = ""
+	c.cameAt = c.front.loop.Now() // the time spent behind an earlier answer does not count
+	if next != nil && !c.ended {
+		if err := next(); err != nil {
+			c.fatal(pgwire.ProtocolViolation, err.Error())
+		}
+	}
+	c.read()
+	c.rest()
+}
+
 var errStart = errors.New("unsupported startup message")
 
-func (c *conn) startup(body []byte) error {
+func (c *Conn) startup(body []byte) error {
 	code, _, err := pgwire.Startup(body)
 	switch {
 	case err != nil:
 		return err
 	case code == pgwire.SSLRequest, code == pgwire.GSSENCRequest:
-		c.write([]byte{'N'}) // plain TCP only
+		c.Write([]byte{'N'}) // plain TCP only
 		return nil
 	case code == pgwire.CancelRequest:
-		c.end() // no cancel keys are given out
+		c.End() // no cancel keys are given out
 		return nil
 	case code>>16 != 3:
 		return errStart
@@ -194,75 +226,6 @@
 	c.start.Stop()
 	c.started = true
 	c.reader.Started()
-	c.write(pgwire.AppendWelcome(nil))
+	c.Write(pgwire.AppendWelcome(nil))
 	return nil
 }
-
-func (c *conn) message(m pgwire.Message) error {
-	if c.skip && m.Type != 'S' && m.Type != 'X' {
-		return nil
-	}
-	switch m.Type {
-	case 'Q':
-		sql, err := pgwire.Query(m.Body)
-		if err != nil {
-			return err
-		}
-		c.query(sql)
-	case 'X':
-		c.end()
-	case 'S':
-		c.skip = false
-		c.write(pgwire.AppendReady(nil))
-	case 'P', 'B', 'D', 'E', 'C', 'H', 'F':
-		c.skip = m.Type != 'F'
-		p := pgwire.AppendError(nil, pgwire.Error{Code: pgwire.NotSupported, Message: "simple queries only"})
-		if m.Type == 'F' {
-			p = pgwire.AppendReady(p)
-		}
-		c.write(p)
-	default:
-		return pgwire.ErrFormat
-	}
-	return nil
-}
-
-func (c *conn) query(sql string) {
-	f := c.front
-	job, blank := Simple(sql)
-	if blank {
-		if f.ready {
-			c.write(pgwire.AppendReady(pgwire.Append(nil, 'I')))
-		} else {
-			c.write(pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error{Code: pgwire.CannotConnectNow,
-				Message: "starting up", After: 100 * time.Millisecond})))
-		}
-		return
-	}
-	h, err := statement.Parse(sql)
-	if err != nil {
-		c.write(pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error{Code: pgwire.BadStatement, Message: err.Error()})))
-		return
-	}
-	job.head = h
-	c.request = f.core.Take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session,
-		Deadline: h.Deadline, At: c.cameAt, After: h.After, Retry: h.Retry, Job: job}, c)
-}
-
-// answered sends the end of a request and goes on to what was sent behind it.
-func (c *conn) answered(p []byte) {
-	c.request = ""
-	c.write(pgwire.AppendReady(p))
-	c.cameAt = c.front.loop.Now() // the time spent behind an earlier answer does not count
-	c.read()
-	c.rest()
-}
-
-// Served implements router.Client.
-func (c *conn) Served(a router.Answer) { c.answered(a.(*servers.Answer).Messages) }
-
-// Refused implements router.Client.
-func (c *conn) Refused(after time.Duration) { c.answered(pgwire.AppendError(nil, Refusal(after))) }
-
-// Failed implements router.Client.
-func (c *conn) Failed(why string) { c.answered(pgwire.AppendError(nil, Failure(why))) }
--- a/internal/clients/job.go
+++ b/internal/clients/job.go
@@ -19,12 +19,18 @@
 	return &Query{sql: sql}, strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(sql), ";")) == ""
 }
 
+// Head reads the statement's comment; it has to be called, and to give no error, before the job is handed on.
+func (q *Query) Head() (h statement.Head, err error) {
+	q.head, err = statement.Parse(q.sql)
+	return q.head, err
+}
+
 // Messages implements servers.Job: the statement as it came, but for the time that is left.
 func (q *Query) Messages(left time.Duration) []byte {
 	return pgwire.AppendQuery(nil, q.head.WithDeadline(q.sql, left))
 }
 
-// Whole implements servers.Job: one row, or the end of a statement that gives none.
+// Whole implements servers.Job: one row of one column.
 func (q *Query) Whole(types []byte) bool { return string(types) == "TDC" }
 
 // Refusal is the error of a request that never ran.
--- /dev/null
+++ b/internal/config/deploy.go
@@ -0,0 +1,80 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Deploy is what the operators set in deploy/limeladder.toml. What is left empty is off.
+type Deploy struct {
+	Extended struct {
+		Listen string `toml:"listen"` // where the second front listens
+	} `toml:"extended"`
+	Syslog struct {
+		Address string `toml:"address"` // a loopback address that takes RFC 5424 over UDP
+	} `toml:"syslog"`
+	Store struct {
+		Name   string            `toml:"name"`   // this member's name among the peers
+		Folder string            `toml:"folder"` // where its log is kept
+		Peers  map[string]string `toml:"peers"`  // name to address, this member's too
+	} `toml:"store"`
+}
+
+// LoadDeploy reads the file at path; one that is not there leaves all of it off.
+func LoadDeploy(path string) (Deploy, error) {
+	var d Deploy
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return d, nil
+	}
+	if err != nil {
+		return d, err
+	}
+	meta, err := toml.Decode(string(text), &d)
+	if err != nil {
+		return d, fmt.Errorf("%s: %w", path, err)
+	}
+	if extra := meta.Undecoded(); len(extra) > 0 {
+		return d, fmt.Errorf("%s: %s: no such field", path, extra[0])
+	}
+	if d.Extended.Listen != "" {
+		if err := address(d.Extended.Listen); err != nil {
+			return d, fmt.Errorf("%s: extended.listen: %w", path, err)
+		}
+	}
+	if d.Syslog.Address != "" {
+		if err := loopback(d.Syslog.Address); err != nil {
+			return d, fmt.Errorf("%s: syslog.address: %w", path, err)
+		}
+	}
+	if s := d.Store; s.Name != "" || s.Folder != "" || len(s.Peers) > 0 {
+		switch {
+		case s.Folder == "":
+			return d, fmt.Errorf("%s: store.folder: missing", path)
+		case s.Peers[s.Name] == "":
+			return d, fmt.Errorf("%s: store.name: %q is none of store.peers", path, s.Name)
+		}
+		for name, a := range s.Peers {
+			if err := address(a); err != nil {
+				return d, fmt.Errorf("%s: store.peers.%s: %w", path, name, err)
+			}
+		}
+	}
+	return d, nil
+}
+
+func loopback(s string) error {
+	if err := address(s); err != nil {
+		return err
+	}
+	host, _, _ := net.SplitHostPort(s)
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("%q is no loopback address", host)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/extended/extended.go
@@ -0,0 +1,388 @@
+// Package extended is the second front: the PostgreSQL wire protocol with extended queries, and simple ones. It
+// makes requests of them for the same core, under the same rules as the platform's front.
+//
+// Prepared statements and portals belong to the client's connection. Nothing of them stays at a db machine: each
+// attempt brings its own Parse and Bind, so it may go wherever the core sends it.
+package extended
+
+import (
+	"time"
+
+	"limeladder/internal/clients"
+	"limeladder/internal/pgwire"
+	"limeladder/internal/router"
+	"limeladder/internal/servers"
+	"limeladder/internal/statement"
+)
+
+// Classes tells which classes write.
+type Classes interface{ Writes(class string) bool }
+
+// New returns the front's speaker for one connection.
+func New(classes Classes) func(*clients.Conn) clients.Speaker {
+	return func(c *clients.Conn) clients.Speaker {
+		return &session{conn: c, classes: classes, statements: map[string]*prepared{}, portals: map[string]*portal{}}
+	}
+}
+
+// session is what one connection of a client holds. A unit of work goes from one Sync to the next.
+type session struct {
+	conn       *clients.Conn
+	classes    Classes
+	statements map[string]*prepared
+	portals    map[string]*portal
+	out        []byte // answers that wait for Flush or Sync
+	held       int    // bytes of statements and portals
+	skip       bool   // an error ended the unit: all up to Sync is passed over
+	next       *work  // asked for, not yet handed to the core
+	running    *work
+	after      *pgwire.Message // came while next had to be run first
+}
+
+type prepared struct {
+	pgwire.ParseMessage
+	head statement.Head
+}
+
+type portal struct {
+	stmt *prepared
+	rest []byte
+	done bool // it was executed
+}
+
+// work is what one request does at a db machine: the description of a statement, or that of a portal and its
+// execution.
+type work struct {
+	stmt     *prepared
+	portal   *portal // nil: describe the statement
+	describe bool
+	execute  bool
+	rows     uint32
+	at       time.Duration
+	closed   []byte // answers to what came behind it
+	ready    bool   // Sync has come
+}
+
+// Idle implements clients.Speaker.
+func (s *session) Idle() bool {
+	return !s.skip && s.next == nil && s.running == nil && len(s.out) == 0 && len(s.portals) == 0
+}
+
+// Message implements clients.Speaker.
+func (s *session) Message(m pgwire.Message) error {
+	if s.skip && m.Type != 'S' && m.Type != 'X' {
+		return nil
+	}
+	if s.next != nil && !s.joins(m) {
+		if s.write(s.next) && m.Type != 'S' {
+			// Guards the one-time run of a write: its unit holds nothing behind it, and it is sent only with Sync,
+			// so that a client lost in between has run nothing.
+			s.next = nil
+			s.error(pgwire.NotSupported, "a write must be followed by Sync")
+			if m.Type == 'H' {
+				s.flush()
+			}
+			return nil
+		}
+		if m.Type == 'S' {
+			s.next.ready = true
+		} else {
+			s.after = &pgwire.Message{Type: m.Type, Body: append([]byte(nil), m.Body...)}
+		}
+		s.run()
+		return nil
+	}
+	switch m.Type {
+	case 'Q':
+		return s.simple(m.Body)
+	case 'P':
+		return s.parse(m.Body)
+	case 'B':
+		return s.bind(m.Body)
+	case 'D':
+		return s.describe(m.Body)
+	case 'E':
+		return s.execute(m.Body)
+	case 'C':
+		return s.close(m.Body)
+	case 'H':
+		s.flush()
+	case 'S':
+		s.sync()
+	case 'X':
+		s.conn.End()
+	case 'F':
+		s.error(pgwire.NotSupported, "function calls are not supported")
+		s.skip = false
+		s.sync()
+	case 'd', 'c', 'f': // PostgreSQL passes over what is left of a COPY that failed
+	default:
+		return pgwire.ErrFormat
+	}
+	return nil
+}
+
+// joins says whether m belongs to the work that waits: the execution of the portal that it describes, or a Close.
+func (s *session) joins(m pgwire.Message) bool {
+	switch m.Type {
+	case 'C':
+		return true
+	case 'E':
+		name, _, err := pgwire.Execute(m.Body)
+		return err == nil && !s.next.execute && s.next.portal != nil && s.portals[name] == s.next.portal
+	}
+	return false
+}
+
+func (s *session) write(w *work) bool { return w.execute && s.classes.Writes(w.stmt.head.Class) }
+
+func (s *session) error(code, text string) {
+	s.out = pgwire.AppendError(s.out, pgwire.Error{Code: code, Message: text})
+	s.skip = true
+}
+
+func (s *session) flush() {
+	if len(s.out) > 0 {
+		s.conn.Write(s.out)
+		s.out = nil
+	}
+}
+
+// sync ends the unit of work, and its portals with it.
+func (s *session) sync() {
+	s.skip = false
+	for name := range s.portals {
+		s.drop(name)
+	}
+	s.out = pgwire.AppendReady(s.out)
+	s.flush()
+}
+
+func (s *session) drop(name string) {
+	if p := s.portals[name]; p != nil {
+		s.held -= len(p.rest)
+		delete(s.portals, name)
+	}
+}
+
+func (s *session) forget(name string) {
+	if p := s.statements[name]; p != nil {
+		s.held -= len(p.Query)
+		delete(s.statements, name)
+	}
+}
+
+// room guards memory: what a client may have prepared is bounded in number and bytes.
+func (s *session) room(n int) bool {
+	lim := s.conn.Limits()
+	if len(s.statements)+len(s.portals) >= lim.Prepared || s.held+n > 2*lim.Message {
+		s.error(pgwire.TooLarge, "too much is prepared on this connection")
+		return false
+	}
+	return true
+}
+
+func (s *session) parse(body []byte) error {
+	m, err := pgwire.Parse(body)
+	if err != nil {
+		return err
+	}
+	if m.Name != "" && s.statements[m.Name] != nil {
+		s.error("42P05", "prepared statement "+m.Name+" already exists")
+		return nil
+	}
+	p := &prepared{ParseMessage: m}
+	if p.head, err = statement.Parse(m.Query); err != nil {
+		s.error(pgwire.BadStatement, err.Error())
+		return nil
+	}
+	if err := Plain(m.Query, s.classes.Writes(p.head.Class)); err != nil {
+		s.error(pgwire.NotSupported, err.Error())
+		return nil
+	}
+	s.forget(m.Name)
+	if s.room(len(m.Query)) {
+		s.held += len(m.Query)
+		s.statements[m.Name] = p
+		s.out = pgwire.Append(s.out, '1')
+	}
+	return nil
+}
+
+func (s *session) bind(body []byte) error {
+	m, err := pgwire.Bind(body)
+	if err != nil {
+		return err
+	}
+	p := s.statements[m.Statement]
+	if p == nil {
+		s.error(pgwire.UndefinedStatement, "prepared statement "+m.Statement+" does not exist")
+		return nil
+	}
+	if m.Portal != "" && s.portals[m.Portal] != nil {
+		s.error("42P03", "portal "+m.Portal+" already exists")
+		return nil
+	}
+	s.drop(m.Portal)
+	if s.room(len(m.Rest)) {
+		s.held += len(m.Rest)
+		s.portals[m.Portal] = &portal{stmt: p, rest: append([]byte(nil), m.Rest...)}
+		s.out = pgwire.Append(s.out, '2')
+	}
+	return nil
+}
+
+func (s *session) describe(body []byte) error {
+	kind, name, err := pgwire.Target(body)
+	if err != nil {
+		return err
+	}
+	w := &work{describe: true, at: s.conn.CameAt()}
+	if kind == 'S' {
+		if w.stmt = s.statements[name]; w.stmt == nil {
+			s.error(pgwire.UndefinedStatement, "prepared statement "+name+" does not exist")
+			return nil
+		}
+	} else {
+		if w.portal = s.portals[name]; w.portal == nil {
+			s.error(pgwire.UndefinedPortal, "portal "+name+" does not exist")
+			return nil
+		}
+		w.stmt = w.portal.stmt
+	}
+	s.next = w
+	return nil
+}
+
+func (s *session) execute(body []byte) error {
+	name, rows, err := pgwire.Execute(body)
+	if err != nil {
+		return err
+	}
+	p := s.portals[name]
+	if p == nil {
+		s.error(pgwire.UndefinedPortal, "portal "+name+" does not exist")
+		return nil
+	}
+	if p.done {
+		s.next = nil
+		s.error(pgwire.NotSupported, "a portal can be executed once only")
+		return nil
+	}
+	p.done = true
+	if s.next == nil {
+		s.next = &work{stmt: p.stmt, portal: p}
+	}
+	s.next.execute, s.next.rows, s.next.at = true, rows, s.conn.CameAt()
+	return nil
+}
+
+func (s *session) close(body []byte) error {
+	kind, name, err := pgwire.Target(body)
+	if err != nil {
+		return err
+	}
+	if kind == 'S' {
+		s.forget(name)
+	} else {
+		s.drop(name)
+	}
+	if s.next != nil {
+		s.next.closed = pgwire.Append(s.next.closed, '3')
+	} else {
+		s.out = pgwire.Append(s.out, '3')
+	}
+	return nil
+}
+
+// run hands the work that waits to the core. What came before it is answered first.
+func (s *session) run() {
+	s.flush()
+	w := s.next
+	s.next, s.running = nil, w
+	h := w.stmt.head
+	s.conn.Take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
+		At: w.at, After: h.After, Retry: h.Retry, Job: w}, s)
+}
+
+func (s *session) simple(body []byte) error {
+	sql, err := pgwire.Query(body)
+	if err != nil {
+		return err
+	}
+	job, blank := clients.Simple(sql)
+	if blank {
+		s.out = pgwire.Append(s.out, 'I')
+		s.sync()
+		return nil
+	}
+	h, err := job.Head()
+	if err != nil {
+		s.error(pgwire.BadStatement, err.Error())
+		s.sync()
+		return nil
+	}
+	if err := Plain(sql, s.classes.Writes(h.Class)); err != nil {
+		s.error(pgwire.NotSupported, err.Error())
+		s.sync()
+		return nil
+	}
+	s.running = &work{ready: true}
+	s.flush()
+	s.conn.Take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
+		At: s.conn.CameAt(), After: h.After, Retry: h.Retry, Job: rows{job}}, s)
+	return nil
+}
+
+// ended goes on after the answer to the work that ran.
+func (s *session) ended(failed bool) {
+	w := s.running
+	s.running = nil
+	if failed {
+		s.skip = true
+	} else {
+		s.out = append(s.out, w.closed...)
+	}
+	if w.ready {
+		s.sync()
+	}
+	m := s.after
+	s.after = nil
+	s.conn.Done(func() error {
+		if m == nil {
+			return nil
+		}
+		return s.Message(*m)
+	})
+}
+
+// Served implements router.Client.
+func (s *session) Served(a router.Answer) {
+	answer := a.(*servers.Answer)
+	w := s.running
+	r := pgwire.NewReader(len(answer.Messages)+5, 0)
+	r.Feed(answer.Messages)
+	for {
+		m, ok, err := r.Next()
+		if !ok || err != nil {
+			break
+		}
+		// ParseComplete and BindComplete were said when the client asked; these are the attempt's own.
+		if m.Type != '1' && m.Type != '2' {
+			s.out = pgwire.Append(s.out, m.Type, m.Body)
+		}
+	}
+	s.ended(answer.Code != "" && w.stmt != nil)
+}
+
+// Refused implements router.Client.
+func (s *session) Refused(after time.Duration) {
+	s.out = pgwire.AppendError(s.out, clients.Refusal(after))
+	s.ended(true)
+}
+
+// Failed implements router.Client.
+func (s *session) Failed(why string) {
+	s.out = pgwire.AppendError(s.out, clients.Failure(why))
+	s.ended(true)
+}
--- /dev/null
+++ b/internal/extended/extended_test.go
@@ -0,0 +1,316 @@
+package extended
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/clients"
+	"limeladder/internal/config"
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+	"limeladder/internal/pgwire"
+	"limeladder/internal/router"
+	"limeladder/internal/servers"
+	"limeladder/internal/sock"
+	"limeladder/internal/standin"
+)
+
+type noEvents struct{}
+
+func (noEvents) Event(string, ...string) {}
+func (noEvents) Track()                  {}
+
+// world is the whole path from a client to db machines.
+type world struct {
+	addr string
+	loop *loop.Loop
+	core *router.Router
+	pool *servers.Pool
+}
+
+func start(t *testing.T, dbs ...*standin.DB) *world {
+	t.Helper()
+	l := loop.New()
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	e, err := sock.New(l, 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, err := router.New(l, lim, log, balance.Config{Instances: 1, Zone: "a", Probes: true, Cancel: true, MostTries: 10,
+		ColdFrom: 0.2, Classes: []balance.Class{
+			{Name: "look", Aim: time.Second, GiveUp: 3 * time.Second, Worth: 1, Need: balance.NeedAny},
+			{Name: "job", Aim: time.Second, GiveUp: 3 * time.Second, Worth: 1, Need: balance.NeedUpdate, Effect: balance.Unsafe},
+		}}, 1, noEvents{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{loop: l, core: core, pool: servers.New(l, e, lim, log)}
+	core.Connect(w.pool, noEvents{})
+	ln, err := e.Listen("127.0.0.1:0", log, clients.New(l, lim, log, core, New(core)).Accept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.addr = ln.Addr().String()
+	w.list(true, "ready", dbs...)
+	go l.Run(core.Step)
+	t.Cleanup(func() { ln.Close(); l.Stop(); e.Stop() })
+	return w
+}
+
+// list tells the router of db machines, named by their addresses.
+func (w *world) list(full bool, state string, dbs ...*standin.DB) {
+	l, b := config.List{Full: full}, balance.List{Kind: balance.ListDelta}
+	for i, d := range dbs {
+		e := config.Entry{ID: d.Addr, Addr: d.Addr, Zone: "a", Cell: 7, State: state}
+		if full && i == 0 {
+			e.Mode = "read-write"
+		}
+		entry, _ := e.Balance()
+		l.Servers, b.Entries = append(l.Servers, e), append(b.Entries, entry)
+	}
+	done := make(chan bool)
+	w.loop.Post(func() { w.pool.List(l); w.core.List(b); close(done) })
+	if !full {
+		<-done
+	}
+}
+
+func sql(id, class string, ms int) string {
+	verb := "SELECT data FROM facts WHERE code = $1"
+	if class == "job" {
+		verb = "INSERT INTO facts (code, data) VALUES ($1, '\\x00') RETURNING data"
+	}
+	return fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=7 */ %s", id, class, ms, verb)
+}
+
+func prepare(name, text string) []byte {
+	return pgwire.AppendParse(nil, pgwire.ParseMessage{Name: name, Query: text})
+}
+
+var values = []byte("\x00\x00\x00\x01\x00\x00\x00\x01x\x00\x01\x00\x01")
+
+// unit is Bind, Describe, Execute and Sync.
+func unit(name string) []byte {
+	p := pgwire.AppendBind(nil, pgwire.BindMessage{Statement: name, Rest: values})
+	p = pgwire.AppendTarget(p, 'D', 'P', "")
+	return pgwire.Append(pgwire.AppendExecute(p, "", 0), 'S')
+}
+
+func both(id, class string, ms int) []byte {
+	return append(prepare("", sql(id, class, ms)), unit("")...)
+}
+
+func TestUnit(t *testing.T) {
+	db := standin.NewDB(t, true, nil)
+	w := start(t, db)
+	c := standin.Dial(t, w.addr)
+	c.Send(both("r1", "look", 2000))
+	if a := c.Until('Z'); a.Types != "12TDCZ" || a.Value != db.Addr || db.Runs("r1") != 1 {
+		t.Fatalf("%+v", a)
+	}
+	// In parts: prepared and described first, executed later, twice, a Close behind an Execute.
+	c.Send(pgwire.Append(pgwire.AppendTarget(prepare("s", sql("r2", "job", 2000)), 'D', 'S', "s"), 'S'))
+	if a := c.Until('Z'); a.Types != "1tTZ" || db.Runs("r2") != 0 {
+		t.Fatalf("%+v", a)
+	}
+	p := pgwire.AppendBind(nil, pgwire.BindMessage{Portal: "p", Statement: "s", Rest: values})
+	c.Send(pgwire.AppendTarget(pgwire.AppendExecute(p, "p", 0), 'C', 'P', "p"))
+	c.Send(pgwire.Append(nil, 'S'))
+	if a := c.Until('Z'); a.Types != "2DC3Z" || db.Runs("r2") != 1 {
+		t.Fatalf("%+v, %d runs", a, db.Runs("r2"))
+	}
+	c.Send(unit("s"))
+	if a := c.Until('Z'); a.Types != "2TDCZ" || db.Runs("r2") != 2 {
+		t.Fatalf("%+v", a)
+	}
+	// Reads may share a unit, and Flush asks for what there is.
+	p = append(prepare("q", sql("r3", "look", 2000)), pgwire.AppendBind(nil, pgwire.BindMessage{Statement: "q", Rest: values})...)
+	p = pgwire.AppendExecute(p, "", 0)
+	p = append(p, pgwire.AppendBind(nil, pgwire.BindMessage{Statement: "q", Rest: values})...)
+	c.Send(pgwire.Append(pgwire.AppendExecute(p, "", 0), 'H'))
+	if a := c.Until('C'); a.Types != "12DC" {
+		t.Fatalf("%+v", a)
+	}
+	if a := c.Until('C'); a.Types != "2DC" || db.Runs("r3") != 2 {
+		t.Fatalf("%+v", a)
+	}
+	c.Send(pgwire.Append(nil, 'S'))
+	c.Send(pgwire.AppendQuery(nil, sql("r4", "look", 2000)))
+	if a := c.Until('Z'); a.Types != "Z" {
+		t.Fatalf("%+v", a)
+	}
+	if a := c.Until('Z'); a.Types != "TDCZ" || db.Runs("r4") != 1 {
+		t.Fatalf("%+v", a)
+	}
+	c.Send(pgwire.AppendQuery(nil, " ; "))
+	if a := c.Until('Z'); a.Types != "IZ" {
+		t.Fatalf("%+v", a)
+	}
+}
+
+// A job runs at most once, whatever breaks and wherever, and its client hears of its end exactly once.
+func TestBreaksAtEachBoundary(t *testing.T) {
+	for _, class := range []string{"job", "look"} {
+		for _, at := range []byte{0, 'P', 'B', 'D', 'E', 'S'} {
+			for _, cut := range []int{0, 1, 5, 10, 15, 46, 60, 90, 140} {
+				if cut > 0 && at != 'S' {
+					continue
+				}
+				id, broke := fmt.Sprintf("%s-%d-%d", class, at, cut), 0
+				act := func(typ byte, is string) standin.Act {
+					if broke > 0 || typ != at || typ != 0 && is != id {
+						return standin.Act{}
+					}
+					broke++
+					return standin.Act{Break: cut == 0, Cut: cut}
+				}
+				db := standin.NewDB(t, true, act)
+				w := start(t, db)
+				c := standin.Dial(t, w.addr)
+				c.Send(both(id, class, 1500))
+				a := c.Until('Z')
+				runs := db.Runs(id)
+				switch {
+				case class == "job" && (at == 0 || cut == 140): // never written, so it may go out again; or cut behind its end
+					if a.Types != "12TDCZ" || runs != 1 {
+						t.Errorf("%s: %+v, %d runs", id, a, runs)
+					}
+				case class == "job":
+					if a.Code != pgwire.UnknownOutcome || strings.Count(a.Types, "E") != 1 || runs > 1 {
+						t.Errorf("%s: %+v, %d runs", id, a, runs)
+					}
+				case a.Types != "12TDCZ": // a read is repeated
+					t.Errorf("%s: %+v", id, a)
+				}
+				c.Send(pgwire.AppendQuery(nil, ""))
+				if a := c.Until('Z'); a.Types != "IZ" {
+					t.Errorf("%s: then %+v", id, a)
+				}
+			}
+		}
+	}
+}
+
+func TestEachErrorOfADbMachine(t *testing.T) {
+	for code, want := range map[string]string{"53300": "", "25006": "", "72000": "", "XX000": "08007", "57P01": "08007", "23505": "23505"} {
+		for _, fatal := range []bool{false, true} {
+			id, told := "e"+code, 0
+			act := func(typ byte, is string) standin.Act {
+				if told > 0 || typ != 'E' || is != id {
+					return standin.Act{}
+				}
+				told++
+				return standin.Act{Code: code, Fatal: fatal}
+			}
+			one, two := standin.NewDB(t, true, act), standin.NewDB(t, true, nil)
+			w := start(t, one, two)
+			c := standin.Dial(t, w.addr)
+			c.Send(both(id, "job", 2500))
+			a := c.Until('Z')
+			if a.Code != want || one.Runs(id)+two.Runs(id) > 1 || want == "" && a.Types != "12TDCZ" {
+				t.Errorf("%s, fatal %v: %+v, %d and %d runs", code, fatal, a, one.Runs(id), two.Runs(id))
+			}
+		}
+	}
+}
+
+func TestDeadline(t *testing.T) {
+	silent := func(typ byte, id string) standin.Act { return standin.Act{Silent: typ == 'E'} }
+	db := standin.NewDB(t, true, silent)
+	w := start(t, db)
+	for class, want := range map[string]string{"job": pgwire.UnknownOutcome, "look": pgwire.TooManyConnections} {
+		c := standin.Dial(t, w.addr)
+		at := time.Now()
+		c.Send(both("d-"+class, class, 400))
+		a := c.Until('Z')
+		if took := time.Since(at); a.Code != want || took < 100*time.Millisecond {
+			t.Errorf("%s: %+v after %v", class, a, took)
+		}
+		if class == "look" && a.Detail == "" {
+			t.Error("the refusal does not say when to come back")
+		}
+	}
+}
+
+// A statement prepared while one replica served reaches another once that one drains.
+func TestDrainedReplica(t *testing.T) {
+	primary, one, two := standin.NewDB(t, true, nil), standin.NewDB(t, false, nil), standin.NewDB(t, false, nil)
+	w := start(t, primary, one)
+	c := standin.Dial(t, w.addr)
+	c.Send(append(prepare("s", sql("r", "look", 1900)), unit("s")...))
+	if a := c.Until('Z'); a.Value != one.Addr {
+		t.Fatalf("%+v", a)
+	}
+	w.list(false, "draining", one)
+	w.list(false, "ready", two)
+	runs := one.Runs("r")
+	c.Send(unit("s"))
+	if a := c.Until('Z'); a.Types != "2TDCZ" || a.Value != two.Addr || one.Runs("r") != runs {
+		t.Fatalf("%+v", a)
+	}
+	// The primary hands over: a job's statement follows it.
+	c.Send(append(prepare("j", sql("j1", "job", 1900)), unit("j")...))
+	if a := c.Until('Z'); a.Value != primary.Addr {
+		t.Fatalf("%+v", a)
+	}
+	primary.Lead(false)
+	two.Lead(true)
+	w.list(false, "draining", primary)
+	c.Send(unit("j"))
+	if a := c.Until('Z'); a.Value != two.Addr || primary.Runs("j1") != 1 || two.Runs("j1") != 1 {
+		t.Fatalf("%+v", a)
+	}
+}
+
+func TestTurnedAway(t *testing.T) {
+	db := standin.NewDB(t, true, nil)
+	w := start(t, db)
+	head := "/* id=x,c=look,d=900,cluster=7 */ "
+	for _, text := range []string{"BEGIN", "COPY facts FROM STDIN", "SET x = 1", "SELECT 1; SELECT 2", "INSERT INTO facts VALUES (1)",
+		"WITH a AS (DELETE FROM facts RETURNING 1) SELECT 1", "SELECT 1 INTO t", "SELECT 'a", "SELECT $a$ x", "/* x", "commit"} {
+		c := standin.Dial(t, w.addr)
+		c.Send(append(prepare("", head+text), unit("")...))
+		if a := c.Until('Z'); a.Types != "EZ" || a.Code != pgwire.NotSupported {
+			t.Errorf("%s: %+v", text, a)
+		}
+		c.Send(pgwire.AppendQuery(nil, head+text))
+		if a := c.Until('Z'); a.Types != "EZ" || a.Code != pgwire.NotSupported {
+			t.Errorf("%s: %+v", text, a)
+		}
+	}
+	c := standin.Dial(t, w.addr)
+	b := pgwire.AppendBind(nil, pgwire.BindMessage{Statement: "j", Rest: values})
+	job := pgwire.AppendExecute(append(prepare("j", sql("j", "job", 900)), b...), "", 0)
+	for _, behind := range [][]byte{b, pgwire.Append(nil, 'H'), pgwire.AppendExecute(nil, "", 0), prepare("k", sql("k", "look", 900))} {
+		c.Send(pgwire.Append(append(append([]byte(nil), job...), behind...), 'S'))
+		if a := c.Until('Z'); a.Code != pgwire.NotSupported || strings.Count(a.Types, "E") != 1 {
+			t.Errorf("behind a job %q: %+v", behind[0], a)
+		}
+		c.Send(pgwire.Append(pgwire.AppendTarget(nil, 'C', 'S', "j"), 'S'))
+		c.Until('Z')
+	}
+	for want, p := range map[string][]byte{"26000": unit("none"), "34000": pgwire.Append(pgwire.AppendExecute(nil, "none", 0), 'S'),
+		"42601": pgwire.Append(prepare("", "SELECT 1"), 'S')} {
+		c.Send(p)
+		if a := c.Until('Z'); a.Code != want || a.Types != "EZ" {
+			t.Errorf("%s: %+v", want, a)
+		}
+	}
+	// A client that leaves before Sync has run nothing; one that breaks the protocol is told, and closed.
+	c.Send(job)
+	c.Close()
+	c = standin.Dial(t, w.addr)
+	c.Send([]byte{'B', 0, 0, 0, 5, 9})
+	if a := c.Until('Z'); !a.Ended || a.Code != pgwire.ProtocolViolation {
+		t.Errorf("%+v", a)
+	}
+	if db.Runs("j") != 0 || db.Runs("x") != 0 {
+		t.Errorf("%d and %d runs", db.Runs("j"), db.Runs("x"))
+	}
+}
--- /dev/null
+++ b/internal/extended/job.go
@@ -0,0 +1,66 @@
+package extended
+
+import (
+	"strings"
+	"time"
+
+	"limeladder/internal/clients"
+	"limeladder/internal/pgwire"
+)
+
+// Messages implements servers.Job: the statement is prepared anew on whichever db machine the attempt goes to, and
+// Sync stands behind it, so that nothing of it outlives the attempt.
+func (w *work) Messages(left time.Duration) []byte {
+	p := w.stmt.ParseMessage
+	p.Name, p.Query = "", w.stmt.head.WithDeadline(p.Query, left)
+	out := pgwire.AppendParse(nil, p)
+	if w.portal == nil {
+		out = pgwire.AppendTarget(out, 'D', 'S', "")
+		return pgwire.Append(out, 'S')
+	}
+	out = pgwire.AppendBind(out, pgwire.BindMessage{Rest: w.portal.rest})
+	if w.describe {
+		out = pgwire.AppendTarget(out, 'D', 'P', "")
+	}
+	if w.execute {
+		out = pgwire.AppendExecute(out, "", w.rows)
+	}
+	return pgwire.Append(out, 'S')
+}
+
+// Whole implements servers.Job.
+func (w *work) Whole(types []byte) bool {
+	rest, ok := strings.CutPrefix(string(types), "1")
+	if !ok {
+		return false
+	}
+	if w.portal == nil {
+		return rest == "tT" || rest == "tn"
+	}
+	if rest, ok = strings.CutPrefix(rest, "2"); !ok {
+		return false
+	}
+	if w.describe {
+		if rest == "" || rest[0] != 'T' && rest[0] != 'n' {
+			return false
+		}
+		rest = rest[1:]
+	}
+	if !w.execute {
+		return rest == ""
+	}
+	rest = strings.TrimLeft(rest, "D")
+	return rest == "C" || rest == "s" || rest == "I"
+}
+
+// rows is a simple query that may give any number of rows, or none.
+type rows struct{ *clients.Query }
+
+// Whole implements servers.Job.
+func (rows) Whole(types []byte) bool {
+	rest, described := strings.CutPrefix(string(types), "T")
+	if described {
+		rest = strings.TrimLeft(rest, "D")
+	}
+	return rest == "C"
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -125,3 +125,9 @@
 
 // InHand is the number of requests that are owed an answer or have an attempt out.
 func (r *Router) InHand() int { return len(r.inHand) }
+
+// Writes says whether the requests of a class may change data, so that they must not run twice.
+func (r *Router) Writes(class string) bool {
+	c := r.classes[class]
+	return c.Effect != balance.Safe || c.Need == balance.NeedUpdate
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,318 @@
+// Package standin has the other ends that tests meet on loopback: a db machine that counts what it runs, and a
+// client. Neither is part of the program.
+package standin
+
+import (
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"limeladder/internal/pgwire"
+	"limeladder/internal/statement"
+)
+
+// Act is what a db machine does when a message has come.
+type Act struct {
+	Break  bool   // it ends the connection
+	Silent bool   // it says nothing more on it
+	Code   string // it answers with this error
+	Cut    int    // of the answer that is next it sends this many bytes and ends the connection
+	Fatal  bool   // the error is fatal: the connection ends behind it
+	Delay  time.Duration
+}
+
+// DB is a db machine.
+type DB struct {
+	Addr string
+	ln   net.Listener
+
+	mu      sync.Mutex
+	primary bool
+	act     func(typ byte, id string) Act
+	runs    map[string]int
+	conns   map[net.Conn]bool
+}
+
+// NewDB starts a db machine. act, if not nil, is asked at each message of a statement with the given id; type 0 is
+// the startup message.
+func NewDB(t testing.TB, primary bool, act func(typ byte, id string) Act) *DB {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &DB{Addr: ln.Addr().String(), ln: ln, primary: primary, act: act, runs: map[string]int{}, conns: map[net.Conn]bool{}}
+	t.Cleanup(d.Stop)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			d.mu.Lock()
+			d.conns[c] = true
+			d.mu.Unlock()
+			go d.serve(c)
+		}
+	}()
+	return d
+}
+
+// Stop ends it and all its connections.
+func (d *DB) Stop() {
+	d.ln.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		c.Close()
+	}
+}
+
+// Lead sets whether it is the primary.
+func (d *DB) Lead(primary bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.primary = primary
+}
+
+// Runs is how often it ran the statement with that id.
+func (d *DB) Runs(id string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.runs[id]
+}
+
+func (d *DB) decide(typ byte, id string) Act {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.act == nil {
+		return Act{}
+	}
+	return d.act(typ, id)
+}
+
+func (d *DB) serve(c net.Conn) {
+	defer c.Close()
+	r := pgwire.NewReader(1<<20, 1<<16)
+	var out []byte
+	var sql string
+	failed, cut := false, 0
+	buf := make([]byte, 4096)
+	for {
+		n, err := c.Read(buf)
+		if err != nil {
+			return
+		}
+		r.Feed(buf[:n])
+		for {
+			m, ok, err := r.Next()
+			if err != nil {
+				return
+			}
+			if !ok {
+				break
+			}
+			switch m.Type {
+			case 0:
+				r.Started()
+			case 'Q':
+				sql, _ = pgwire.Query(m.Body)
+			case 'P':
+				p, _ := pgwire.Parse(m.Body)
+				sql = p.Query
+			case 'X':
+				return
+			}
+			h, err := statement.Parse(sql)
+			a := d.decide(m.Type, h.ID)
+			time.Sleep(a.Delay)
+			cut = max(cut, a.Cut)
+			if a.Break {
+				return
+			}
+			if a.Silent {
+				select {}
+			}
+			d.mu.Lock()
+			primary := d.primary
+			d.mu.Unlock()
+			write := h.Class == "job"
+			if m.Type == 'Q' && sql == "SHOW stats" {
+				v := "x0=" + strconv.FormatFloat(float64(time.Now().UnixMilli())/1000, 'f', 3, 64) + ",x1=" + flag(primary) + ",util=0.5"
+				out = d.ready(row(pgwire.Append(out, 'T', []byte("\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00")), v), primary)
+			} else if code := a.Code; m.Type != 0 && m.Type != 'S' && !failed {
+				if runs := m.Type == 'Q' || m.Type == 'E'; runs && code == "" {
+					switch {
+					case err != nil:
+						code = pgwire.ProtocolViolation
+					case write && !primary:
+						code = pgwire.ReadOnly
+					default:
+						d.mu.Lock()
+						d.runs[h.ID]++
+						d.mu.Unlock()
+					}
+				}
+				if code != "" {
+					out = pgwire.AppendError(out, pgwire.Error{Code: code, Message: "told to", Fatal: a.Fatal})
+					failed = true
+					if a.Fatal {
+						c.Write(out)
+						return
+					}
+				} else {
+					out = d.reply(out, m)
+				}
+			}
+			if m.Type == 'S' || m.Type == 'Q' && sql != "SHOW stats" {
+				out, failed = d.ready(out, primary), false
+			}
+			if m.Type == 0 {
+				out = pgwire.AppendWelcome(out)
+			}
+			if m.Type == 0 || m.Type == 'S' || m.Type == 'Q' || m.Type == 'H' {
+				if cut > 0 {
+					c.Write(out[:min(cut, len(out))])
+					return
+				}
+				if _, err := c.Write(out); err != nil {
+					return
+				}
+				out = nil
+			}
+		}
+	}
+}
+
+func flag(b bool) string {
+	if b {
+		return "1"
+	}
+	return "0"
+}
+
+var columns = []byte("\x00\x01data\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")
+
+func (d *DB) reply(out []byte, m pgwire.Message) []byte {
+	switch m.Type {
+	case 'P':
+		return pgwire.Append(out, '1')
+	case 'B':
+		return pgwire.Append(out, '2')
+	case 'D':
+		if m.Body[0] == 'S' {
+			out = pgwire.Append(out, 't', []byte{0, 0})
+		}
+		return pgwire.Append(out, 'T', columns)
+	case 'Q':
+		return row(pgwire.Append(out, 'T', columns), d.Addr)
+	case 'E':
+		return row(out, d.Addr)
+	}
+	return out
+}
+
+func row(out []byte, value string) []byte {
+	out = pgwire.Append(out, 'D', []byte{0, 1, 0, 0, 0, byte(len(value))}, []byte(value))
+	return pgwire.Append(out, 'C', []byte("SELECT 1\x00"))
+}
+
+func (d *DB) ready(out []byte, primary bool) []byte {
+	mode := "read-only"
+	if primary {
+		mode = "read-write"
+	}
+	out = pgwire.AppendPair(out, "mode", mode)
+	out = pgwire.AppendPair(out, "wal_time", strconv.FormatInt(time.Now().UnixMilli(), 10))
+	return pgwire.AppendReady(out)
+}
+
+// Client is a client of the router.
+type Client struct {
+	t testing.TB
+	c net.Conn
+	r *pgwire.Reader
+}
+
+// Dial connects and waits for the welcome.
+func Dial(t testing.TB, addr string) *Client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	k := &Client{t: t, c: c, r: pgwire.NewReader(1<<20, 0)}
+	k.Send(pgwire.AppendStartup(nil, "user", "portal", "database", "crm"))
+	if a := k.Until('Z'); a.Code != "" {
+		t.Fatalf("not welcome: %+v", a)
+	}
+	return k
+}
+
+// Send writes p.
+func (k *Client) Send(p []byte) {
+	if _, err := k.c.Write(p); err != nil {
+		k.t.Fatal(err)
+	}
+}
+
+// Close ends the connection.
+func (k *Client) Close() { k.c.Close() }
+
+// Answer is what came up to a message.
+type Answer struct {
+	Types  string // of all messages but ParameterStatus
+	Code   string // of the last error
+	Detail string // its field D
+	Value  string // of the last row
+	Ended  bool   // the connection ended instead
+}
+
+// Until reads up to a message of the given type.
+func (k *Client) Until(typ byte) (a Answer) {
+	k.t.Helper()
+	buf := make([]byte, 4096)
+	k.c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	for {
+		m, ok, err := k.r.Next()
+		if err != nil {
+			k.t.Fatal(err)
+		}
+		if !ok {
+			n, err := k.c.Read(buf)
+			if ne, is := err.(net.Error); is && ne.Timeout() {
+				k.t.Fatalf("no answer, after %q", a.Types)
+			}
+			if err != nil {
+				a.Ended = true
+				return a
+			}
+			k.r.Feed(buf[:n])
+			continue
+		}
+		if m.Type == 'S' {
+			continue
+		}
+		a.Types += string(m.Type)
+		if m.Type == 'E' {
+			f, err := pgwire.Fields(m.Body)
+			if err != nil {
+				k.t.Fatal(err)
+			}
+			a.Code, a.Detail = f['C'], f['D']
+		}
+		if m.Type == 'D' {
+			v, err := pgwire.Row(m.Body)
+			if err != nil {
+				k.t.Fatal(err)
+			}
+			a.Value = string(v[0])
+		}
+		if m.Type == typ {
+			return a
+		}
+	}
+}
