--- /dev/null
+++ b/internal/clients/clients_test.go
@@ -0,0 +1,206 @@
+package clients
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+	"limeladder/internal/pgwire"
+	"limeladder/internal/router"
+	"limeladder/internal/servers"
+	"limeladder/internal/sock"
+	"limeladder/internal/standin"
+)
+
+// core answers requests by their class, in the loop.
+type core struct {
+	loop  *loop.Loop
+	taken int
+	left  chan string
+}
+
+func (k *core) Take(q router.Request, c router.Client) string {
+	k.taken++
+	k.loop.Post(func() {
+		switch q.Class {
+		case "served":
+			text := q.Job.(*Query).Messages(q.Deadline)
+			p := pgwire.Append(nil, 'T', []byte{0, 0})
+			p = pgwire.Append(p, 'D', []byte{0, 1, 0, 0, byte(len(text) >> 8), byte(len(text))}, text)
+			c.Served(&servers.Answer{Messages: pgwire.Append(p, 'C', []byte("SELECT 1\x00"))})
+		case "refused":
+			c.Refused(1500 * time.Millisecond)
+		case "failed":
+			c.Failed("it may have run")
+		}
+	})
+	return q.Label
+}
+
+func (k *core) Leave(id string) { k.left <- id }
+
+func start(t *testing.T) (f *Front, k *core, l *loop.Loop, addr string) {
+	l = loop.New()
+	e, err := sock.New(l, 256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	k = &core{loop: l, left: make(chan string, 9)}
+	f = New(l, lim, log, k, Platform)
+	ln, err := e.Listen("127.0.0.1:0", log, f.Accept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Run(func() {})
+	t.Cleanup(func() { ln.Close(); l.Stop(); e.Stop() })
+	return f, k, l, ln.Addr().String()
+}
+
+func sql(class string) string {
+	return fmt.Sprintf("/* id=i-%s,c=%s,d=900,cluster=1 */ SELECT 1", class, class)
+}
+
+func TestAnswers(t *testing.T) {
+	f, _, l, addr := start(t)
+	c := standin.Dial(t, addr)
+	c.Send(pgwire.AppendQuery(nil, ""))
+	if a := c.Until('Z'); a.Code != pgwire.CannotConnectNow || a.Types != "EZ" {
+		t.Fatalf("%+v before it is ready", a)
+	}
+	done := make(chan bool)
+	l.Post(func() { f.Ready(); close(done) })
+	<-done
+	var p []byte
+	for _, text := range []string{"", sql("served"), sql("refused"), "SELECT 1", sql("failed")} { // all at once
+		p = pgwire.AppendQuery(p, text)
+	}
+	c.Send(p)
+	for i, want := range []standin.Answer{{Types: "IZ"}, {Types: "TDCZ"}, {Types: "EZ", Code: "53300", Detail: "1500"},
+		{Types: "EZ", Code: "42601"}, {Types: "EZ", Code: "08007"}} {
+		a := c.Until('Z')
+		if i == 1 && !strings.Contains(a.Value, "id=i-served,c=served,d=900,cluster=1") {
+			t.Errorf("passed on %q", a.Value)
+		}
+		if a.Value = ""; a != want {
+			t.Errorf("answer %d: %+v", i, a)
+		}
+	}
+	c.Send(pgwire.Append(pgwire.AppendParse(nil, pgwire.ParseMessage{}), 'S'))
+	if a := c.Until('Z'); a.Types != "EZ" || a.Code != pgwire.NotSupported {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A client may ask for encryption first, and send its query right behind the startup message.
+func TestQueryRightBehindStartup(t *testing.T) {
+	_, _, _, addr := start(t)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	p := pgwire.Append(nil, 0, []byte{4, 210, 22, 47})
+	p = pgwire.AppendQuery(pgwire.AppendStartup(p, "user", "portal"), sql("served"))
+	c.Write(p)
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	if b := make([]byte, 1); true {
+		if _, err := io.ReadFull(c, b); err != nil || b[0] != 'N' {
+			t.Fatalf("%q %v", b, err)
+		}
+	}
+	r := pgwire.NewReader(1<<16, 0)
+	types := ""
+	for buf := make([]byte, 1000); !strings.HasSuffix(types, "TDCZ"); {
+		n, err := c.Read(buf)
+		if err != nil {
+			t.Fatalf("%v after %q", err, types)
+		}
+		r.Feed(buf[:n])
+		for {
+			m, ok, err := r.Next()
+			if !ok || err != nil {
+				break
+			}
+			types += string(m.Type)
+		}
+	}
+}
+
+func TestLeaving(t *testing.T) {
+	_, k, _, addr := start(t)
+	c := standin.Dial(t, addr)
+	c.Send(pgwire.AppendQuery(pgwire.AppendQuery(nil, sql("served")), sql("held")))
+	if a := c.Until('Z'); a.Types != "TDCZ" { // the held one is taken in the same turn of the loop
+		t.Fatalf("%+v", a)
+	}
+	c.Close()
+	if id := <-k.left; id != "i-held" {
+		t.Fatal(id)
+	}
+}
+
+// While the program ends, a connection closes behind the answer in hand, and at once where none is.
+func TestDrain(t *testing.T) {
+	f, _, l, addr := start(t)
+	idle, busy := standin.Dial(t, addr), standin.Dial(t, addr)
+	l.Post(f.Drain)
+	if a := idle.Until('Z'); !a.Ended {
+		t.Fatalf("%+v", a)
+	}
+	if a := busy.Until('Z'); !a.Ended {
+		t.Fatalf("%+v", a)
+	}
+	late := standin.Dial(t, addr)
+	late.Send(pgwire.AppendQuery(nil, sql("served")))
+	if a := late.Until('Z'); a.Types != "TDCZ" {
+		t.Fatalf("%+v", a)
+	}
+	if a := late.Until('Z'); !a.Ended {
+		t.Fatalf("%+v", a)
+	}
+}
+
+// Garbage ends its connection at most; the others go on.
+func TestGarbage(t *testing.T) {
+	_, _, _, addr := start(t)
+	rng := rand.New(rand.NewPCG(9, 9))
+	for i := range 60 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := make([]byte, 1+rng.IntN(300))
+		for i := range p {
+			p[i] = byte(rng.Uint32())
+		}
+		if i%2 == 0 {
+			p = append(pgwire.AppendStartup(nil, "user", "x"), p...)
+		}
+		c.Write(p)
+		if i%3 == 0 {
+			c.(*net.TCPConn).CloseWrite()
+		}
+		c.Close()
+	}
+	c := standin.Dial(t, addr)
+	c.Send(pgwire.AppendQuery(nil, sql("served")))
+	if a := c.Until('Z'); a.Types != "TDCZ" {
+		t.Fatalf("%+v", a)
+	}
+	for name, p := range map[string][]byte{"type": {'?', 0, 0, 0, 4}, "length": {'Q', 0x7f, 0, 0, 0}, "body": {'Q', 0, 0, 0, 5, 'x'}} {
+		c := standin.Dial(t, addr)
+		c.Send(p)
+		if a := c.Until('Z'); !a.Ended || a.Code != pgwire.ProtocolViolation {
+			t.Errorf("%s: %+v", name, a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/list/list_test.go
@@ -0,0 +1,146 @@
+package list
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"limeladder/internal/config"
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+	"limeladder/internal/sock"
+)
+
+func answers() []string {
+	return []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nConnection: close\r\n\r\n",
+	}
+}
+
+func feed(text string, next func(left int) int) (r *response, whole bool, err error) {
+	r = &response{header: 512, most: 4096}
+	for p := []byte(text); len(p) > 0 && !whole && err == nil; {
+		n := next(len(p))
+		whole, err = r.feed(p[:n])
+		p = p[n:]
+	}
+	return r, whole, err
+}
+
+func TestRandomCutsAndGarbage(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	for i, text := range answers() {
+		for range 200 {
+			r, whole, err := feed(text, func(left int) int { return 1 + rng.IntN(left) })
+			if !whole || err != nil || i < 2 && string(r.body) != "hello" || i == 2 && (r.status != 503 || !r.close) {
+				t.Fatalf("answer %d: %v %v %+v", i, whole, err, r)
+			}
+			bad := []byte(text)
+			for range 1 + rng.IntN(6) {
+				bad[rng.IntN(len(bad))] = byte(rng.Uint32())
+			}
+			feed(string(bad), func(left int) int { return 1 + rng.IntN(left) })
+		}
+	}
+}
+
+func FuzzResponse(f *testing.F) {
+	for _, text := range answers() {
+		f.Add(text)
+	}
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		a, whole1, err1 := feed(text, func(left int) int { return left })
+		b, whole2, err2 := feed(text, func(left int) int { return 1 })
+		if len(a.body) > 4096 || len(b.body) > 4096 || whole1 && whole2 && string(a.body) != string(b.body) {
+			t.Fatalf("%v %v %v %v", whole1, whole2, err1, err2)
+		}
+	})
+}
+
+type told struct {
+	lists chan config.List
+	fails chan bool
+}
+
+func (s told) Listed(l config.List) { s.lists <- l }
+func (s told) ListFailed()          { s.fails <- true }
+
+func watch(t *testing.T, lim limits.Limits, version int64, h http.HandlerFunc) (told, *Watcher, *loop.Loop) {
+	srv := httptest.NewServer(h)
+	l := loop.New()
+	e, err := sock.New(l, 256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := told{make(chan config.List, 99), make(chan bool, 99)}
+	w := New(l, e, lim, slog.New(slog.NewTextHandler(io.Discard, nil)), srv.Listener.Addr().String(), version, s)
+	go l.Run(func() {})
+	l.Post(w.Track)
+	t.Cleanup(func() { l.Post(w.Stop); l.Stop(); e.Stop(); srv.CloseClientConnections(); srv.Close() })
+	return s, w, l
+}
+
+func lim() limits.Limits {
+	l := limits.For(192, 1024, 250*time.Millisecond, time.Second, time.Second)
+	l.WatchWait, l.CallSlack = 30*time.Millisecond, 200*time.Millisecond
+	return l
+}
+
+func TestWatchGoesOn(t *testing.T) {
+	n := 0
+	s, _, _ := watch(t, lim(), 0, func(w http.ResponseWriter, r *http.Request) {
+		n++
+		if n == 3 { // an answer that ends its connection
+			w.Header().Set("Connection", "close")
+		}
+		if want := map[bool]string{true: "", false: fmt.Sprint(n - 1)}[n == 1]; r.URL.Query().Get("index") != want {
+			t.Errorf("call %d: %s", n, r.URL)
+		}
+		fmt.Fprintf(w, `{"version":%d,"full":%v,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"ready","cell":3}]}`, n, n == 1)
+	})
+	for i := range int64(6) {
+		if l := <-s.lists; l.Version != i+1 || l.Full != (i == 0) || len(l.Servers) != 1 || l.Servers[0].Cell != 3 {
+			t.Fatalf("%+v", l)
+		}
+	}
+	if len(s.fails) > 0 {
+		t.Fatal("a call failed")
+	}
+}
+
+func TestFailuresAreTold(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"silent":  func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"busy":    func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) },
+		"garbage": func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "{") },
+		"state":   func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, `{"servers":[{"id":"s","state":"odd"}]}`) },
+		"reset": func(w http.ResponseWriter, r *http.Request) {
+			c, _, _ := w.(http.Hijacker).Hijack()
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, w, l := watch(t, lim(), 4, h)
+			for range 2 { // after a failure nothing is asked before Track
+				select {
+				case <-s.fails:
+					l.Post(w.Track)
+				case got := <-s.lists:
+					t.Fatalf("%+v", got)
+				case <-time.After(20 * time.Second):
+					t.Fatal("nothing told")
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,46 @@
+package loop
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+func TestOrderAndTimers(t *testing.T) {
+	l := New()
+	var got []int
+	stopped := l.After(time.Millisecond, func() { got = append(got, 99) })
+	l.After(20*time.Millisecond, func() { got = append(got, 5); l.Stop() })
+	l.After(10*time.Millisecond, func() { got = append(got, 4) })
+	for i := range 3 {
+		l.Post(func() { got = append(got, i+1) })
+	}
+	stopped.Stop()
+	stopped.Stop()
+	var none *Timer
+	none.Stop()
+	steps := 0
+	l.Run(func() { steps++ })
+	if !slices.Equal(got, []int{1, 2, 3, 4, 5}) || steps < 3 {
+		t.Fatalf("%v in %d steps", got, steps)
+	}
+}
+
+func TestPostFromManyGoroutines(t *testing.T) {
+	l := New()
+	n := 0
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 1000 {
+				l.Post(func() { n++ })
+			}
+		})
+	}
+	go func() { wg.Wait(); l.Stop() }()
+	l.Run(func() {})
+	if n != 8000 {
+		t.Fatalf("%d calls", n)
+	}
+}
--- /dev/null
+++ b/internal/pgwire/pgwire_test.go
@@ -0,0 +1,151 @@
+package pgwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// valid is one of each message, in an order that a connection might carry.
+func valid() []byte {
+	p := AppendWelcome(nil)
+	p = AppendQuery(p, "SELECT 1")
+	p = AppendParse(p, ParseMessage{Name: "s", Query: "SELECT $1", Types: []uint32{25, 17}})
+	p = AppendBind(p, BindMessage{Portal: "p", Statement: "s", Rest: []byte("\x00\x00\x00\x01\x00\x00\x00\x01x\x00\x01\x00\x01")})
+	p = AppendTarget(p, 'D', 'S', "s")
+	p = AppendExecute(p, "p", 7)
+	p = AppendError(p, Error{Code: TooManyConnections, Message: "no", After: time.Second})
+	p = Append(p, 'D', []byte("\x00\x02\x00\x00\x00\x01v\xff\xff\xff\xff"))
+	return AppendReady(p)
+}
+
+// read cuts p into messages, fed in pieces whose sizes next gives, and decodes them all.
+func read(p []byte, next func(left int) int) (out []Message, err error) {
+	r := NewReader(1<<16, 0)
+	for len(p) > 0 {
+		n := next(len(p))
+		r.Feed(p[:n])
+		p = p[n:]
+		for {
+			m, ok, err := r.Next()
+			if err != nil {
+				return out, err
+			}
+			if !ok {
+				break
+			}
+			decode(m.Body)
+			out = append(out, Message{m.Type, bytes.Clone(m.Body)})
+		}
+	}
+	return out, nil
+}
+
+// decode gives a body to every decoder; none may panic, whatever it is.
+func decode(b []byte) {
+	Startup(b)
+	Query(b)
+	Pair(b)
+	Fields(b)
+	Row(b)
+	Parse(b)
+	Bind(b)
+	Target(b)
+	Execute(b)
+}
+
+func same(a, b []Message) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Type != b[i].Type || !bytes.Equal(a[i].Body, b[i].Body) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestRandomCuts(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	want, err := read(valid(), func(left int) int { return left })
+	if err != nil || len(want) != 17 {
+		t.Fatalf("%d messages, %v", len(want), err)
+	}
+	for range 500 {
+		got, err := read(valid(), func(left int) int { return 1 + rng.IntN(min(left, 40)) })
+		if err != nil || !same(got, want) {
+			t.Fatalf("%d messages, %v", len(got), err)
+		}
+	}
+}
+
+func TestRandomGarbage(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 2000 {
+		p := valid()
+		for range 1 + rng.IntN(8) {
+			p[rng.IntN(len(p))] = byte(rng.Uint32())
+		}
+		if rng.IntN(4) == 0 {
+			for i := range p {
+				p[i] = byte(rng.Uint32())
+			}
+		}
+		read(p, func(left int) int { return 1 + rng.IntN(left) })
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add(valid(), uint8(3))
+	f.Add([]byte{'Q', 0, 0, 0, 4}, uint8(1))
+	f.Add([]byte{'D', 0, 0, 0, 6, 0xff, 0xff}, uint8(2))
+	f.Fuzz(func(t *testing.T, p []byte, step uint8) {
+		whole, err1 := read(p, func(left int) int { return left })
+		cut, err2 := read(p, func(left int) int { return min(left, 1+int(step)) })
+		if !same(whole, cut) || (err1 == nil) != (err2 == nil) {
+			t.Fatalf("%d and %d messages, %v and %v", len(whole), len(cut), err1, err2)
+		}
+	})
+}
+
+// A length is refused as soon as it is there: nothing of that size is waited for.
+func TestSizesAreCheckedFirst(t *testing.T) {
+	for n, bad := range map[uint32]bool{0: true, 3: true, 4: false, 100: false, 101: true, 1 << 31: true, 1<<32 - 1: true} {
+		r := NewReader(100, 0)
+		r.Feed(binary.BigEndian.AppendUint32([]byte{'Q'}, n))
+		if _, _, err := r.Next(); errors.Is(err, ErrSize) != bad {
+			t.Errorf("length %d: %v", n, err)
+		}
+		r = NewReader(10, 100)
+		r.Feed(binary.BigEndian.AppendUint32(nil, n))
+		if _, _, err := r.Next(); errors.Is(err, ErrSize) != bad {
+			t.Errorf("startup length %d: %v", n, err)
+		}
+	}
+}
+
+func TestRoundTrips(t *testing.T) {
+	r := NewReader(1<<16, 1<<10)
+	r.Feed(AppendStartup(nil, "user", "portal", "database", "crm"))
+	m, ok, err := r.Next()
+	code, params, err2 := Startup(m.Body)
+	if !ok || err != nil || err2 != nil || code != ProtocolVersion || params["user"] != "portal" || params["database"] != "crm" {
+		t.Fatalf("%v %v %v %v", ok, err, err2, params)
+	}
+	r.Started()
+	r.Feed(AppendError(nil, Error{Fatal: true, Code: "57P03", Message: "m", After: 1500 * time.Millisecond}))
+	m, _, _ = r.Next()
+	f, err := Fields(m.Body)
+	if err != nil || f['C'] != "57P03" || f['D'] != "1500" || f['S'] != "FATAL" {
+		t.Fatalf("%v %v", f, err)
+	}
+	r.Feed(AppendExecute(nil, "p", 9))
+	m, _, _ = r.Next()
+	if portal, rows, err := Execute(m.Body); portal != "p" || rows != 9 || err != nil {
+		t.Fatalf("%q %d %v", portal, rows, err)
+	}
+}
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,194 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+)
+
+// peer plays servers, watcher and events, and keeps the calls that are out.
+type peer struct {
+	t       *testing.T
+	calls   []*call
+	written bool // whether what is cancelled had been written
+	fail    int
+}
+
+type call struct {
+	p    *peer
+	a    Attempt
+	done func(Result)
+	over bool
+
+	status balance.Status
+}
+
+func (p *peer) Start(a Attempt, done func(Result)) Call {
+	c := &call{p: p, a: a, done: done}
+	for _, o := range p.calls {
+		if !o.over && o.a.Job == a.Job {
+			p.t.Error("two attempts at once")
+		}
+	}
+	p.calls = append(p.calls, c)
+	return c
+}
+func (p *peer) Probe(node string, done func(Result)) { done(Result{Status: balance.TimedOut}) }
+func (p *peer) Track()                               {}
+func (p *peer) Event(string, ...string)              { p.fail++ }
+func (c *call) Cancel() bool                         { c.over = true; return c.p.written }
+func (c *call) end(s balance.Status)                 { c.over, c.status = true, s; c.done(Result{Status: s}) }
+
+// owed counts the answers to one request.
+type owed struct {
+	served, refused, failed int
+	after                   time.Duration
+	at                      time.Duration
+	l                       *loop.Loop
+}
+
+func (o *owed) Served(Answer)               { o.served++; o.at = o.l.Now() }
+func (o *owed) Refused(after time.Duration) { o.refused++; o.after = after; o.at = o.l.Now() }
+func (o *owed) Failed(string)               { o.failed++; o.at = o.l.Now() }
+func (o *owed) total() int                  { return o.served + o.refused + o.failed }
+
+func start(t *testing.T) (*Router, *peer, *loop.Loop) {
+	l := loop.New()
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	r, err := New(l, lim, slog.New(slog.NewTextHandler(io.Discard, nil)), balance.Config{Instances: 1, Zone: "a", Cancel: true,
+		MostTries: 4, Classes: []balance.Class{
+			{Name: "look", Aim: 100 * time.Millisecond, GiveUp: time.Second, Worth: 1, Need: balance.NeedAny},
+			{Name: "job", Aim: 100 * time.Millisecond, GiveUp: time.Second, Worth: 1, Need: balance.NeedUpdate, Effect: balance.Unsafe}}}, 1, &peer{t: t})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{t: t, written: true}
+	r.Connect(p, p)
+	r.List(balance.List{Kind: balance.ListFull, Entries: []balance.Entry{
+		{Node: "n1", Zone: "a", State: balance.Ready, Primary: true}, {Node: "n2", Zone: "a", State: balance.Ready}}})
+	return r, p, l
+}
+
+// play runs the loop for a while; do is called in it first.
+func play(r *Router, l *loop.Loop, d time.Duration, do func()) {
+	l.Post(do)
+	l.Post(func() { l.After(d, l.Stop) })
+	l.Run(r.Step)
+}
+
+func TestTheFinalAnswerComesBeforeTheClientGivesUp(t *testing.T) {
+	for class, written := range map[string]bool{"job": true, "look": true} {
+		r, p, l := start(t)
+		p.written = written
+		o := &owed{l: l}
+		var at time.Duration
+		play(r, l, 200*time.Millisecond, func() {
+			at = l.Now()
+			r.Take(Request{Class: class, Deadline: 120 * time.Millisecond, At: at, Job: 1}, o)
+		})
+		if len(p.calls) == 0 || !p.calls[0].over {
+			t.Fatalf("%s: its attempt is still out", class)
+		}
+		if o.total() != 1 || class == "job" && o.failed != 1 || class == "look" && o.refused != 1 {
+			t.Fatalf("%s: %+v", class, o)
+		}
+		if o.at-at >= 120*time.Millisecond {
+			t.Logf("%s: answered after %v", class, o.at-at) // a busy machine may be late; the order is what is tested
+		}
+		if o.refused == 1 && o.after <= 0 {
+			t.Fatal("a refusal that does not say when to come back")
+		}
+		if r.InHand() != 0 {
+			t.Fatalf("%d in hand", r.InHand())
+		}
+	}
+}
+
+func TestWhatWasNeverWrittenIsRefused(t *testing.T) {
+	r, p, l := start(t)
+	p.written = false
+	o := &owed{l: l}
+	play(r, l, 200*time.Millisecond, func() {
+		r.Take(Request{Class: "job", Deadline: 120 * time.Millisecond, At: l.Now(), Job: 1}, o)
+	})
+	if o.refused != 1 || o.total() != 1 {
+		t.Fatalf("%+v", o)
+	}
+}
+
+func TestTurnedAwayAtTheDoor(t *testing.T) {
+	r, _, l := start(t)
+	r.lim.Requests = 1
+	a, b, c := &owed{l: l}, &owed{l: l}, &owed{l: l}
+	play(r, l, 50*time.Millisecond, func() {
+		r.Take(Request{Class: "none", Deadline: time.Second, At: l.Now(), Job: 1}, a)
+		r.Take(Request{Class: "look", Deadline: time.Second, At: l.Now(), Job: 2}, b)
+		r.Take(Request{Class: "look", Deadline: time.Second, At: l.Now(), Job: 3}, c)
+	})
+	if a.failed != 1 || b.total() != 0 || c.refused != 1 || c.after <= 0 {
+		t.Fatalf("%+v %+v %+v", a, b, c)
+	}
+}
+
+// Whatever the db machines do and whenever clients leave, each request ends once, no job goes out again after it
+// may have run, and nothing stays behind.
+func TestRandomOutcomes(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 8))
+	r, p, l := start(t)
+	var all []*owed
+	left := map[int]bool{}
+	var ids []string
+	tick := func() {}
+	n := 0
+	tick = func() {
+		if n++; n > 300 {
+			return
+		}
+		o := &owed{l: l}
+		class := []string{"look", "job"}[rng.IntN(2)]
+		ids = append(ids, r.Take(Request{Class: class, Label: class, Deadline: time.Duration(20+rng.IntN(80)) * time.Millisecond,
+			At: l.Now(), Job: fmt.Sprintf("%s%d", class, n)}, o))
+		all = append(all, o)
+		if i := rng.IntN(len(all)); rng.IntN(6) == 0 && all[i].total() == 0 {
+			left[i] = true
+			r.Leave(ids[i])
+		}
+		for _, c := range p.calls {
+			if !c.over && rng.IntN(3) == 0 {
+				c.end([]balance.Status{balance.Done, balance.Done, balance.Error, balance.Busy, balance.ConnectFailed,
+					balance.Reset, balance.Skipped, balance.Miss}[rng.IntN(8)])
+			}
+		}
+		l.After(time.Millisecond, tick)
+	}
+	play(r, l, 800*time.Millisecond, tick)
+	may := map[any]bool{}
+	for _, c := range p.calls {
+		if may[c.a.Job] {
+			t.Fatalf("%v: sent again", c.a.Job)
+		}
+		// A call that ended without a status was cancelled at its deadline: it may have run.
+		safe := c.status == balance.Busy || c.status == balance.ConnectFailed || c.status == balance.Skipped || c.status == balance.Miss
+		may[c.a.Job] = strings.HasPrefix(c.a.Job.(string), "job") && !safe
+	}
+	for i, o := range all {
+		want := 1
+		if left[i] {
+			want = 0
+		}
+		if o.total() != want {
+			t.Fatalf("request %d, left %v: %+v", i, left[i], o)
+		}
+	}
+	if r.InHand() != 0 {
+		t.Fatalf("%d in hand", r.InHand())
+	}
+}
--- /dev/null
+++ b/internal/servers/servers_test.go
@@ -0,0 +1,234 @@
+package servers
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/config"
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+	"limeladder/internal/pgwire"
+	"limeladder/internal/router"
+	"limeladder/internal/sock"
+	"limeladder/internal/standin"
+)
+
+type job string
+
+func (j job) Messages(left time.Duration) []byte {
+	return pgwire.AppendQuery(nil, fmt.Sprintf("/* id=%s,c=job,d=%d,cluster=1 */ INSERT", string(j), left.Milliseconds()))
+}
+func (job) Whole(types []byte) bool { return string(types) == "TDC" }
+
+type rig struct {
+	t    *testing.T
+	loop *loop.Loop
+	pool *Pool
+}
+
+func start(t *testing.T, lim limits.Limits, addr string) *rig {
+	l := loop.New()
+	e, err := sock.New(l, 256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t, l, New(l, e, lim, slog.New(slog.NewTextHandler(io.Discard, nil)))}
+	r.pool.List(config.List{Full: true, Servers: []config.Entry{{ID: "n", Addr: addr, State: "ready"}}})
+	go l.Run(func() {})
+	t.Cleanup(func() { l.Stop(); e.Stop() })
+	return r
+}
+
+func lim() limits.Limits {
+	return limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+}
+
+// try makes one attempt and waits for its end.
+func (r *rig) try(id string, by time.Duration) router.Result {
+	r.t.Helper()
+	done := make(chan router.Result, 9)
+	r.loop.Post(func() {
+		now := r.loop.Now()
+		a := router.Attempt{Node: "n", Job: job(id), Until: now + 10*time.Second}
+		if by != 0 {
+			a.By = now + by
+		}
+		r.pool.Start(a, func(x router.Result) { done <- x })
+	})
+	return r.end(done)
+}
+
+func (r *rig) end(done chan router.Result) router.Result {
+	r.t.Helper()
+	select {
+	case x := <-done:
+		return x
+	case <-time.After(20 * time.Second):
+		r.t.Fatal("no end")
+		panic("")
+	}
+}
+
+func TestAConnectionIsKeptAndUsedInTimeOnly(t *testing.T) {
+	for idle, want := range map[time.Duration]int32{time.Minute: 1, -1: 3} {
+		var dials atomic.Int32
+		db := standin.NewDB(t, true, func(typ byte, _ string) standin.Act {
+			if typ == 0 {
+				dials.Add(1)
+			}
+			return standin.Act{}
+		})
+		l := lim()
+		l.Idle = idle
+		r := start(t, l, db.Addr)
+		for i := range 3 {
+			x := r.try(fmt.Sprint(i), 0)
+			if x.Status != balance.Done || x.Role != balance.RolePrimary || x.Position <= 0 || db.Runs(fmt.Sprint(i)) != 1 {
+				t.Fatalf("%+v", x)
+			}
+		}
+		if dials.Load() != want {
+			t.Errorf("idle %v: %d connections, %d expected", idle, dials.Load(), want)
+		}
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	for code, want := range map[string]balance.Status{"53300": balance.Busy, "25006": balance.Miss, "72000": balance.Miss,
+		"XX000": balance.Error, "08P01": balance.Error, "23505": balance.Done} {
+		for _, fatal := range []bool{false, true} {
+			db := standin.NewDB(t, true, func(typ byte, _ string) standin.Act {
+				if typ == 0 {
+					return standin.Act{}
+				}
+				return standin.Act{Code: code, Fatal: fatal}
+			})
+			r := start(t, lim(), db.Addr)
+			if x := r.try("a", 0); x.Status != want || db.Runs("a") != 0 || code == "23505" && x.Answer.(*Answer).Code != code {
+				t.Errorf("%s, fatal %v: %+v", code, fatal, x)
+			}
+		}
+	}
+}
+
+// Never ran needs proof: refused, or ended before the request was written. What breaks behind that may have run.
+func TestBreaks(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	if x := start(t, lim(), ln.Addr().String()).try("a", 0); x.Status != balance.ConnectFailed {
+		t.Errorf("refused: %+v", x)
+	}
+	for name, c := range map[string]struct {
+		at   byte
+		act  standin.Act
+		want balance.Status
+	}{
+		"at the welcome":     {0, standin.Act{Break: true}, balance.ConnectFailed},
+		"silent welcome":     {0, standin.Act{Silent: true}, balance.ConnectFailed},
+		"before the answer":  {'Q', standin.Act{Break: true}, balance.Reset},
+		"within the answer":  {'Q', standin.Act{Cut: 30}, balance.Reset},
+		"before ready":       {'Q', standin.Act{Cut: 75}, balance.Reset},
+		"behind the answer":  {'Q', standin.Act{Cut: 1000}, balance.Done},
+		"behind the welcome": {0, standin.Act{Cut: 1000}, balance.Reset},
+	} {
+		db := standin.NewDB(t, true, func(typ byte, _ string) standin.Act {
+			if typ == c.at {
+				return c.act
+			}
+			return standin.Act{}
+		})
+		x := start(t, lim(), db.Addr).try("a", 0)
+		if x.Status != c.want && !(name == "behind the welcome" && x.Status == balance.ConnectFailed) {
+			t.Errorf("%s: %+v", name, x)
+		}
+	}
+}
+
+// A send that a slow connection has held up past the age its data may have is not made.
+func TestTooLateToSend(t *testing.T) {
+	db := standin.NewDB(t, true, func(typ byte, _ string) standin.Act {
+		if typ == 0 {
+			return standin.Act{Delay: 60 * time.Millisecond}
+		}
+		return standin.Act{}
+	})
+	r := start(t, lim(), db.Addr)
+	if x := r.try("a", 20*time.Millisecond); x.Status != balance.Skipped || db.Runs("a") != 0 {
+		t.Fatalf("%+v", x)
+	}
+	if x := r.try("b", -time.Millisecond); x.Status != balance.Skipped || db.Runs("b") != 0 {
+		t.Fatalf("%+v", x)
+	}
+	if x := r.try("c", time.Minute); x.Status != balance.Done {
+		t.Fatalf("%+v", x)
+	}
+}
+
+// The answer to a cancelled attempt must not be taken for that of the next.
+func TestLateAnswerMeetsNobody(t *testing.T) {
+	asked := make(chan bool, 9)
+	db := standin.NewDB(t, true, func(typ byte, id string) standin.Act {
+		if typ == 'Q' && id == "slow" {
+			asked <- true
+			return standin.Act{Delay: 30 * time.Millisecond}
+		}
+		return standin.Act{}
+	})
+	r := start(t, lim(), db.Addr)
+	r.try("first", 0)
+	call, written := make(chan router.Call, 1), make(chan bool, 1)
+	r.loop.Post(func() {
+		call <- r.pool.Start(router.Attempt{Node: "n", Job: job("slow"), Until: r.loop.Now() + time.Minute}, func(x router.Result) {
+			t.Errorf("a cancelled attempt ended: %+v", x)
+		})
+	})
+	c := <-call
+	<-asked
+	r.loop.Post(func() { written <- c.Cancel() })
+	if !<-written {
+		t.Error("it was written")
+	}
+	for i := range 5 {
+		if x := r.try(fmt.Sprint(i), 0); x.Status != balance.Done || db.Runs(fmt.Sprint(i)) != 1 {
+			t.Fatalf("%+v", x)
+		}
+	}
+	r.loop.Post(func() { written <- c.Cancel() })
+	if <-written {
+		t.Error("cancelled twice")
+	}
+}
+
+func TestProbe(t *testing.T) {
+	db := standin.NewDB(t, false, nil)
+	r := start(t, lim(), db.Addr)
+	done := make(chan router.Result, 9)
+	ask := func() { r.loop.Post(func() { r.pool.Probe("n", func(x router.Result) { done <- x }) }) }
+	ask()
+	now := time.Duration(time.Now().UnixNano())
+	if x := r.end(done); x.Status != balance.Done || x.Role != balance.RoleReplica || x.Position > now+time.Minute || x.Position < now-time.Minute {
+		t.Fatalf("%+v", x)
+	}
+	silent := standin.NewDB(t, false, func(typ byte, _ string) standin.Act { return standin.Act{Silent: typ == 'Q'} })
+	r = start(t, lim(), silent.Addr)
+	ask()
+	if x := r.end(done); x.Status != balance.TimedOut {
+		t.Fatalf("%+v", x)
+	}
+	for text, want := range map[string]time.Duration{"x0=1767225600.123,x1=1,util=0.6": 1767225600123 * time.Millisecond,
+		`{"x0": 1767225600.5, "x1": 1}`: 1767225600500 * time.Millisecond, "x1=1": 0, "x0=nan,x0=-5,x1=1": 0} {
+		p := pgwire.Append(nil, 'D', []byte{0, 1, 0, 0, 0, byte(len(text))}, []byte(text))
+		if role, pos := report(&Answer{Messages: p}); pos != want || role != balance.RolePrimary {
+			t.Errorf("%s: %v %v", text, role, pos)
+		}
+	}
+}
--- /dev/null
+++ b/internal/statement/statement_test.go
@@ -0,0 +1,46 @@
+package statement
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+const example = "/* id=9b1f03aa5c7e2d41,c=order,d=480,cluster=2,after=1767225600123,r=1,k=x */ INSERT INTO facts (code) VALUES ('7f3a')"
+
+func TestParse(t *testing.T) {
+	h, err := Parse(example)
+	if err != nil || h.ID != "9b1f03aa5c7e2d41" || h.Class != "order" || h.Deadline != 480*time.Millisecond || h.Group != 2 ||
+		h.After != 1767225600123*time.Millisecond || !h.Retry || h.Session != "7f3a" {
+		t.Fatalf("%+v %v", h, err)
+	}
+	want := "/* id=9b1f03aa5c7e2d41,c=order,d=77,cluster=2,after=1767225600123,r=1,k=x */ INSERT INTO facts (code) VALUES ('7f3a')"
+	if got := h.WithDeadline(example, 77900*time.Microsecond); got != want {
+		t.Fatal(got)
+	}
+	for sql, want := range map[string]error{"": ErrNone, "SELECT 1": ErrNone, "/* id=1": ErrNone, "/* */ x": ErrForm,
+		"/* id=1,c=a,d=5 */ x": ErrForm, "/* id=1,c=a,d=-5,cluster=1 */": ErrForm, "/* id=1,c=a,d=x,cluster=1 */": ErrForm,
+		"/* id=1,c=a,d=5,d=6,cluster=1 */": ErrForm, "/* id=1,c=a,d=99999999999,cluster=1 */": ErrForm} {
+		if _, err := Parse(sql); !errors.Is(err, want) {
+			t.Errorf("%q: %v", sql, err)
+		}
+	}
+}
+
+// Whatever stands in a comment that is taken, only the figure of d changes.
+func FuzzParse(f *testing.F) {
+	f.Add(example)
+	f.Add("/*d=1,id=a,c=b,cluster=0*/")
+	f.Add("/* id = 1, d= 5 ,c=,cluster=1 */ '")
+	f.Fuzz(func(t *testing.T, sql string) {
+		h, err := Parse(sql)
+		if err != nil {
+			return
+		}
+		h2, err := Parse(h.WithDeadline(sql, h.Deadline+time.Millisecond))
+		h.from, h.to, h2.from, h2.to = 0, 0, 0, 0
+		if h.Deadline = max(h.Deadline+time.Millisecond, time.Millisecond); err != nil && h.Deadline <= longest || err == nil && h != h2 {
+			t.Fatalf("%+v %+v %v", h, h2, err)
+		}
+	})
+}
