Refuse a read that was never sent before half of its client's time

Checked: crashes and broken rules (none), sockets (0 closed as idle, 0 sent again), CPU (0.05 s in the worst second), the way through a router (0.26 ms to the first attempt): all ruled out. At fault: request.useless in balance.go held until 20 ms before the end whether or not anything was sent; the design leaves the hold's length open. Conclusion: kept for classes that are safe to repeat; writes are held as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -458,7 +458,13 @@
 	if q.class.LateShare == 0 {
 		end = min(end, q.aimAt)
 	}
-	return end - seconds(q.class.lat/2)
+	end -= seconds(q.class.lat / 2)
+	if !q.written && q.class.Effect == Safe {
+		// Danger: what is held and never sent keeps its client from asking elsewhere. The last moment in
+		// which that costs nothing is half of the client's time.
+		end = min(end, q.at+(q.dieAt-q.at)/2-2*beat)
+	}
+	return end
 }
 
 func (r *Router) dispatch(g *group) {
@@ -560,6 +566,7 @@
 	if e.Status <= Busy || e.Status == Miss { // it answered
 		n.progress = r.now
 	}
+	q.written = q.written || e.Status != ConnectFailed && e.Status != Skipped
 	cost := 1.0
 	switch e.Status {
 	case Done:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1020,3 +1020,24 @@
 	}
 	t.Fatal("no final answer")
 }
+
+// A read that was never sent is refused before half of its client's time, so that the client can ask elsewhere. One
+// that a member has had in hand may wait for a further attempt.
+func TestReadNeverSentIsRefusedBeforeHalfItsTime(t *testing.T) {
+	for _, reached := range []bool{false, true} {
+		h := newRig(t, base(), List{Kind: ListCached})
+		q := h.request("any")
+		h.step(0, q)
+		if reached {
+			n := h.sent(h.step(10*ms, three(ListFull)), "abc")[0].Node
+			h.step(0, List{Kind: ListFull}, Outcome{ID: q.ID, Node: n, Status: Busy})
+		}
+		var acts []Action
+		for h.now < 102*time.Second && len(pick[Refuse](acts)) == 0 {
+			acts = h.step(10 * ms)
+		}
+		if at := h.now - 100*time.Second; reached != (at >= 500*ms) || at > time.Second {
+			t.Fatalf("reached %v: refused after %v, the client waits 1 s", reached, at)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -80,6 +80,7 @@
 	missed             []*node
 	out                int
 	over, ended        bool // answered; given up on
+	written            bool // an attempt has reached a member
 	mayRun             bool // an attempt may have run, or be running
 	ranAt              Time
 	ranZone            string
