Store test: end the members only after all have caught up

Seen: TestMembersAgreeAndSurviveRestarts timed out at "still there". The loop closed members one by one while others still waited for the majority to tell them what is committed. The test was at fault, not the store.

--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -88,6 +88,8 @@
 	}
 	for _, s := range all {
 		eventually(t, "still there", has(s, "count", "29"))
+	}
+	for _, s := range all { // not before: what a member has is told to it by a majority
 		s.Close()
 	}
 }
