--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strconv"
 	"time"
 
 	"limeladder/balance"
@@ -15,6 +17,8 @@
 	"limeladder/internal/router"
 	"limeladder/internal/servers"
 	"limeladder/internal/sock"
+	"limeladder/internal/store"
+	"limeladder/internal/syslog"
 )
 
 // daemon is the assembled program.
@@ -28,6 +32,11 @@
 	watcher  *list.Watcher
 	fronts   []front
 	draining bool
+	name     string
+	events   router.Events
+	syslog   *syslog.Sender // nil = off
+	store    *store.Store   // nil = off
+	told     bool           // discovery has answered
 }
 
 // front is one address where clients connect.
@@ -46,7 +55,7 @@
 	for _, c := range cfg.Balance.Classes {
 		longest = max(longest, c.GiveUp)
 	}
-	d := &daemon{log: log, loop: loop.New()}
+	d := &daemon{log: log, loop: loop.New(), name: cfg.Name, events: noEvents{}}
 	d.lim = limits.For(cfg.Limits.MemoryMB, cfg.Limits.Sockets, time.Duration(cfg.Settings.Limits.ConnectTimeoutNs),
 		time.Duration(cfg.Settings.Limits.ConnIdleNs), longest)
 	if dep.Extended.Listen != "" {
@@ -56,7 +65,10 @@
 	if d.engine, err = sock.New(d.loop, cfg.Limits.Sockets); err != nil {
 		return nil, err
 	}
-	if d.core, err = router.New(d.loop, d.lim, log, cfg.Balance, cfg.SeedValue, noEvents{}); err != nil {
+	if err := d.open(dep); err != nil {
+		return nil, err
+	}
+	if d.core, err = router.New(d.loop, d.lim, log, cfg.Balance, cfg.SeedValue, d.events); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	d.pool = servers.New(d.loop, d.engine, d.lim, log)
@@ -82,10 +94,57 @@
 		d.listed(known, balance.ListCached)
 		d.watcher.Track()
 		d.loop.After(d.lim.ListFirst, d.ready)
+		d.report()
 	})
 	return d, nil
 }
 
+// open starts what deploy/limeladder.toml turns on.
+func (d *daemon) open(dep config.Deploy) (err error) {
+	if dep.Syslog.Address != "" {
+		if d.syslog, err = syslog.New(dep.Syslog.Address, d.name, d.lim.SyslogQueue, d.lim.SyslogBytes); err != nil {
+			return fmt.Errorf("syslog.address: %w", err)
+		}
+		d.events = d.syslog
+	}
+	if dep.Store.Name != "" {
+		d.store, err = store.Open(store.Config{Name: dep.Store.Name, Folder: dep.Store.Folder, Peers: dep.Store.Peers,
+			Entries: d.lim.StoreEntries, Queue: d.lim.StoreQueue}, d.log)
+		if err != nil {
+			return err
+		}
+		if n := d.store.Torn(); n > 0 {
+			d.events.Event("torn", "bytes", strconv.FormatInt(n, 10))
+		}
+		d.keep("config/"+d.name, dep)
+	}
+	return nil
+}
+
+// keep queues a value for the store; nothing waits for it.
+func (d *daemon) keep(key string, v any) {
+	if d.store == nil {
+		return
+	}
+	p, err := json.Marshal(v)
+	if err != nil {
+		d.log.Warn("not kept", "key", key, "err", err)
+		return
+	}
+	if !d.store.Put(key, p) {
+		d.log.Warn("not kept: the store's queue is full", "key", key, "dropped", d.store.Dropped())
+	}
+}
+
+// report logs and keeps the counters now and then.
+func (d *daemon) report() {
+	c := d.core.Counts()
+	d.log.Info("counts", "taken", c.Taken, "served", c.Served, "refused", c.Refused, "failed", c.Failed, "left", c.Left,
+		"attempts", fmt.Sprint(c.Attempts), "inhand", d.core.InHand(), "clients", d.clients())
+	d.keep("counts/"+d.name, c)
+	d.loop.After(d.lim.Report, d.report)
+}
+
 func (d *daemon) listen(field, addr string, speak func(*clients.Conn) clients.Speaker) error {
 	f := clients.New(d.loop, d.lim, d.log, d.core, speak)
 	l, err := d.engine.Listen(addr, d.log, f.Accept)
@@ -103,7 +162,7 @@
 	}
 }
 
-func (d *daemon) open() (n int) {
+func (d *daemon) clients() (n int) {
 	for _, f := range d.fronts {
 		n += f.Open()
 	}
@@ -113,13 +172,23 @@
 func (d *daemon) run() {
 	d.loop.Run(func() {
 		d.core.Step()
-		if d.draining && d.core.InHand() == 0 && d.open() == 0 {
+		if d.draining && d.core.InHand() == 0 && d.clients() == 0 {
 			d.loop.Stop()
 		}
 	})
 	c := d.core.Counts()
 	d.log.Info("ended", "taken", c.Taken, "served", c.Served, "refused", c.Refused, "failed", c.Failed, "left", c.Left,
 		"attempts", fmt.Sprint(c.Attempts))
+	d.events.Event("ended")
+	if d.syslog != nil {
+		d.syslog.Close()
+	}
+	if d.store != nil {
+		if err := d.store.Close(); err != nil {
+			d.log.Warn("store", "err", err)
+		}
+	}
+	d.engine.Stop()
 }
 
 // Listed implements list.Sink.
@@ -128,8 +197,12 @@
 	if l.Full {
 		kind = balance.ListFull
 	}
+	d.told = true
 	d.listed(l, kind)
 	d.ready()
+	if l.Full {
+		d.keep("list", l)
+	}
 }
 
 func (d *daemon) listed(l config.List, kind balance.ListKind) {
@@ -147,7 +220,18 @@
 }
 
 // ListFailed implements list.Sink.
-func (d *daemon) ListFailed() { d.core.List(balance.List{Kind: balance.ListFailed}) }
+func (d *daemon) ListFailed() {
+	d.core.List(balance.List{Kind: balance.ListFailed})
+	if d.told || d.store == nil {
+		return
+	}
+	// Discovery has not answered since the start: go by the last list that the peers have kept.
+	var l config.List
+	if p, ok := d.store.Get("list"); ok && json.Unmarshal(p, &l) == nil {
+		d.told = true
+		d.listed(l, balance.ListCached)
+	}
+}
 
 // drain ends the program after SIGTERM: connections are still taken for a while, since the platform sends some;
 // what is taken is finished.
@@ -156,6 +240,7 @@
 		return
 	}
 	d.log.Info("draining")
+	d.events.Event("draining")
 	for _, f := range d.fronts {
 		f.Drain()
 	}
--- /dev/null
+++ b/cmd/limeladder/daemon_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"limeladder/internal/config"
+	"limeladder/internal/pgwire"
+	"limeladder/internal/standin"
+)
+
+const settings = `{"Instances":1,"Locality":"a","Discovery":"ask","Lanes":[
+ {"Name":"look","AimNs":1000000000,"GiveUpNs":3000000000,"Importance":1,"Effect":"safe"},
+ {"Name":"job","AimNs":1000000000,"GiveUpNs":3000000000,"Importance":1,"Effect":"unsafe"}],
+ "Extra":{"Guards":"silent","NeedsByClass":["loose","update"],"OriginTimeNs":1},
+ "Limits":{"Cancelling":true,"Probes":true,"MostTries":10,"ConnIdleNs":15000000000,"ConnectTimeoutNs":250000000}}`
+
+func configText(discovery string) string {
+	return fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
+ "limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s}`, discovery, settings)
+}
+
+func sql(id, class string) string {
+	return fmt.Sprintf("/* id=%s,c=%s,d=2500,cluster=7 */ SELECT 1", id, class)
+}
+
+// From the list to the end: both fronts serve, events go out, the list is kept, and SIGTERM's path finishes what
+// was taken.
+func TestLife(t *testing.T) {
+	asked, goOn := make(chan bool, 9), make(chan bool)
+	db := standin.NewDB(t, true, func(typ byte, id string) standin.Act {
+		if id == "slow" {
+			asked <- true
+			<-goOn
+		}
+		return standin.Act{}
+	})
+	stop := make(chan bool)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("index") != "" {
+			select { // nothing new
+			case <-r.Context().Done():
+			case <-stop:
+			}
+			return
+		}
+		fmt.Fprintf(w, `{"version":3,"full":true,"servers":[{"id":"s1","addr":%q,"zone":"a","cell":7,"state":"ready","mode":"read-write"}]}`, db.Addr)
+	}))
+	defer discovery.Close()
+	defer close(stop)
+	events, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer events.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+
+	cfg, err := config.Parse([]byte(configText(discovery.Listener.Addr().String())), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	var dep config.Deploy
+	dep.Extended.Listen = "127.0.0.1:0"
+	dep.Syslog.Address = events.LocalAddr().String()
+	dep.Store.Name, dep.Store.Folder, dep.Store.Peers = "n1", t.TempDir(), map[string]string{"n1": ln.Addr().String()}
+	d, err := newDaemon(cfg, dep, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan bool)
+	go func() { d.run(); close(ended) }()
+	platform, second := d.fronts[0].listener.Addr().String(), d.fronts[1].listener.Addr().String()
+
+	for ready := false; !ready; time.Sleep(time.Millisecond) {
+		c := standin.Dial(t, platform)
+		c.Send(pgwire.AppendQuery(nil, ""))
+		ready = c.Until('Z').Types == "IZ"
+		c.Close()
+	}
+	for i, addr := range []string{platform, second} {
+		c := standin.Dial(t, addr)
+		c.Send(pgwire.AppendQuery(nil, sql(fmt.Sprint("r", i), "job")))
+		if a := c.Until('Z'); a.Types != "TDCZ" || db.Runs(fmt.Sprint("r", i)) != 1 {
+			t.Fatalf("%s: %+v", addr, a)
+		}
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		var l config.List
+		if p, ok := d.store.Get("list"); ok && json.Unmarshal(p, &l) == nil && l.Version == 3 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the list is not kept")
+		}
+	}
+
+	slow := standin.Dial(t, platform)
+	slow.Send(pgwire.AppendQuery(nil, sql("slow", "job")))
+	<-asked
+	d.loop.Post(d.drain)
+	late := standin.Dial(t, platform) // the platform still sends connections for a while
+	late.Send(pgwire.AppendQuery(nil, sql("late", "job")))
+	close(goOn)
+	for name, c := range map[string]*standin.Client{"slow": slow, "late": late} {
+		if a := c.Until('Z'); a.Types != "TDCZ" || db.Runs(name) != 1 {
+			t.Fatalf("%s: %+v", name, a)
+		}
+		if a := c.Until('Z'); !a.Ended {
+			t.Fatalf("%s: %+v", name, a)
+		}
+	}
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("it goes on")
+	}
+	buf := make([]byte, 4096)
+	events.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for {
+		n, _, err := events.ReadFrom(buf)
+		if err != nil {
+			t.Fatal("no event of the end")
+		}
+		if strings.Contains(string(buf[:n]), ` ended [event@32473 router="n1"]`) {
+			return
+		}
+	}
+}
+
+// A bad configuration is one line that names the field, and an exit code that is not 0.
+func TestBadConfig(t *testing.T) {
+	if os.Getenv("LIMELADDER_TEST_MAIN") == "1" {
+		main()
+		os.Exit(0)
+	}
+	path := t.TempDir() + "/config.json"
+	os.WriteFile(path, []byte(strings.Replace(configText("127.0.0.1:1"), `"seed":"1"`, `"seed":"x"`, 1)), 0o600)
+	cmd := exec.Command(os.Args[0], "-test.run=TestBadConfig")
+	cmd.Env = append(os.Environ(), "LIMELADDER_TEST_MAIN=1", "EDGE_CONFIG="+path)
+	out, err := cmd.CombinedOutput()
+	if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "seed:") {
+		t.Fatalf("%v %q", err, out)
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -24,6 +24,7 @@
 	LogText      int // bytes of a log line of the decision module
 	SyslogQueue  int // events waiting to be sent
 	SyslogBytes  int // bytes of one event
+	StoreQueue   int // writes waiting to be replicated
 	StoreEntries int // entries kept in the store's log before it is cut
 
 	Connect      time.Duration // until a db machine has welcomed a connection
@@ -39,6 +40,7 @@
 	DrainAccept  time.Duration // connections are accepted for this long after SIGTERM
 	DrainMost    time.Duration // the program ends at the latest this long after SIGTERM
 	Sweep        time.Duration // how often idle connections are looked at
+	Report       time.Duration // how often the counters are logged
 }
 
 // For fills the limits from what the platform grants and the settings say.
@@ -51,11 +53,11 @@
 		Startup: 10_000, Message: 192 << 10, Answer: 192 << 10, Buffered: memoryMB << 20 / 8,
 		Clients: free / 2, Connections: free * 2 / 5, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Prepared: 256, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
-		SyslogQueue: 256, SyslogBytes: 2048, StoreEntries: 1024,
+		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
 		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Idle: idle * 3 / 4,
 		AnswerBefore: 10 * time.Millisecond, Flush: 500 * time.Millisecond, ClientStart: 10 * time.Second,
 		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, ListFirst: time.Second,
-		DrainAccept: 500 * time.Millisecond, DrainMost: longest + time.Second, Sweep: time.Second,
+		DrainAccept: 500 * time.Millisecond, DrainMost: longest + time.Second, Sweep: time.Second, Report: 10 * time.Second,
 	}
 }
