--- /dev/null
+++ b/Makefile
@@ -0,0 +1,15 @@
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test -count=1 ./...
+
+lint:
+	@bad=$$(gofmt -l .); if [ -n "$$bad" ]; then echo "not formatted: $$bad"; exit 1; fi
+	go vet ./...
+
+# EDGE_CONFIG names the router's configuration, as on the platform.
+run: build
+	exec bin/limeladder
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -429,11 +429,8 @@
 	if q.mayRun && (q.class.Effect == Unsafe || q.class.Effect == Keyed && q.class.Scope != ScopeAll) {
 		r.do(Fail{ID: q.id})
 	} else {
-		pause := time.Duration(0)
-		if r.cfg.RetryAfter {
-			pause = min(r.cfg.MaxRetryAfter, q.class.Aim)
-		}
-		r.do(Refuse{ID: q.id, RetryAfter: pause})
+		// Told wherever clients can hear it: one that comes back at once meets what turned it away.
+		r.do(Refuse{ID: q.id, RetryAfter: min(r.cfg.MaxRetryAfter, q.class.Aim)})
 	}
 	r.close(q)
 }
--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -172,7 +172,7 @@
 func (d *daemon) run() {
 	d.loop.Run(func() {
 		d.core.Step()
-		if d.draining && d.core.InHand() == 0 && d.clients() == 0 {
+		if d.draining && d.core.InHand() == 0 && d.clients() == 0 && d.engine.Finishing() == 0 {
 			d.loop.Stop()
 		}
 	})
--- a/internal/clients/job.go
+++ b/internal/clients/job.go
@@ -33,9 +33,9 @@
 // Whole implements servers.Job: one row of one column.
 func (q *Query) Whole(types []byte) bool { return string(types) == "TDC" }
 
-// Refusal is the error of a request that never ran.
+// Refusal is the error of a request that may be sent again without harm.
 func Refusal(after time.Duration) pgwire.Error {
-	return pgwire.Error{Code: pgwire.TooManyConnections, Message: "refused: nothing ran, come again", After: after}
+	return pgwire.Error{Code: pgwire.TooManyConnections, Message: "refused: a repeat does no harm, come again", After: after}
 }
 
 // Failure is the error of a request that may have run.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -33,6 +33,7 @@
 	Idle         time.Duration // an idle connection older than this is not used
 	AnswerBefore time.Duration // the final answer comes this long before the client gives up
 	Flush        time.Duration // a connection that is to be closed may take this long to take its last answer
+	ComeAgain    time.Duration // a refusal for which the decision module gives no time says this
 	ClientStart  time.Duration // until a client has sent its startup message
 	WatchWait    time.Duration // what a watch asks discovery to wait
 	CallSlack    time.Duration // a call of discovery fails this long after its wait
@@ -56,7 +57,7 @@
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
 		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Idle: idle * 3 / 4,
-		AnswerBefore: 10 * time.Millisecond, Flush: 500 * time.Millisecond, ClientStart: 10 * time.Second,
+		AnswerBefore: 10 * time.Millisecond, Flush: 500 * time.Millisecond, ComeAgain: time.Second, ClientStart: 10 * time.Second,
 		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, ListFirst: time.Second,
 		DrainAccept: 500 * time.Millisecond, DrainMost: longest + time.Second, Sweep: time.Second, Report: 10 * time.Second,
 	}
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -15,7 +15,7 @@
 	}
 	if len(r.inHand) >= r.lim.Requests {
 		// Guards memory: what is beyond the limit is turned away before anything is kept of it.
-		r.loop.Post(func() { r.refuse(q, c.Aim) })
+		r.loop.Post(func() { r.refuse(q, 0) })
 		return
 	}
 	r.inHand[q.id] = q
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -22,7 +22,7 @@
 	r.count.Refused++
 	r.log.Debug("refused", "request", q.Label, "class", q.Class, "tries", q.tries, "after", r.loop.Now()-q.At)
 	if after <= 0 {
-		after = r.classes[q.Class].Aim // a refusal always says when to come back
+		after = r.lim.ComeAgain // a refusal always says when to come back
 	}
 	q.client.Refused(after)
 	r.forget(q)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,7 +20,7 @@
 // Client is the front's side of one request; exactly one of its methods is called, once.
 type Client interface {
 	Served(Answer)
-	Refused(after time.Duration) // nothing ran: come again after this
+	Refused(after time.Duration) // a repeat does no harm: come again after this
 	Failed(why string)           // nothing is promised
 }
 
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -23,10 +23,14 @@
 
 // Engine owns the poller.
 type Engine struct {
-	loop *loop.Loop
-	nb   *nbio.Engine
+	loop      *loop.Loop
+	nb        *nbio.Engine
+	finishing int // connections that are to close once their last bytes are taken; owned by the loop
 }
 
+// Finishing is the number of connections that are to close once their last bytes are taken.
+func (e *Engine) Finishing() int { return e.finishing }
+
 // New starts the poller. maxFiles bounds the descriptors it has room for.
 func New(l *loop.Loop, maxFiles int) (*Engine, error) {
 	logging.SetLevel(logging.LevelNone)
@@ -122,7 +126,11 @@
 		return
 	}
 	const step = 5 * time.Millisecond
-	c.engine.loop.After(step, func() { c.Finish(within - step) })
+	c.engine.finishing++
+	c.engine.loop.After(step, func() {
+		c.engine.finishing--
+		c.Finish(within - step)
+	})
 }
 
 // Dial opens a connection within the given time. done is called in the loop, once; the handler it returns is told
