Give the Go scheduler as many processors as the platform grants cores

Guessed before: nbio's poller, waiting in a raw system call, would hold the only processor and delay the loop, so two were set. The guess is ruled out.

--- a/cmd/limeladder/main.go
+++ b/cmd/limeladder/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
 	"os/signal"
 	"runtime"
@@ -33,9 +34,8 @@
 		level = slog.LevelDebug
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("router", cfg.Name)
-	// The poller waits in a system call that holds its processor for a while: with one alone the loop would wait
-	// with it. The platform's share of a core binds all the same.
-	runtime.GOMAXPROCS(2)
+	// More processors than the platform grants cores would only take turns on them.
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	d, err := newDaemon(cfg, dep, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "limeladder:", err)
