Second front: bound what a client may prepare and leave waiting; heed Terminate at once

What all clients have prepared shares one budget of bytes with what they have sent ahead; answers that wait for Sync are sent early beyond 16 KiB. Before, Terminate behind a write without Sync was taken for a message that must not stand there, and the connection stayed open. The write was not sent in either case.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -38,7 +38,7 @@
 	ready    bool
 	draining bool
 	conns    map[*Conn]struct{}
-	buffered int // bytes of all clients that wait to be read
+	buffered int // bytes of all clients that wait to be read or are kept for them
 }
 
 // New returns a Front that is not ready yet. speak makes the Speaker of each connection.
@@ -94,6 +94,7 @@
 	ended   bool
 	request string // the core's handle of the request in hand
 	held    int    // its share of front.buffered
+	kept    int    // the same, of what its Speaker keeps between requests
 	cameAt  time.Duration
 }
 
@@ -111,8 +112,8 @@
 func (c *Conn) gone() {
 	f := c.front
 	delete(f.conns, c)
-	f.buffered -= c.held
-	c.held = 0
+	f.buffered -= c.held + c.kept
+	c.held, c.kept = 0, 0
 	if c.request != "" {
 		f.core.Leave(c.request)
 		c.request = ""
@@ -191,6 +192,24 @@
 // Limits are those of the program.
 func (c *Conn) Limits() limits.Limits { return c.front.lim }
 
+// Hold says whether there is room to keep so many bytes for the client, and counts them if so.
+func (c *Conn) Hold(n int) bool {
+	if c.ended || c.front.buffered+n > c.front.lim.Buffered {
+		return false
+	}
+	c.kept += n
+	c.front.buffered += n
+	return true
+}
+
+// Release gives back bytes that Hold has counted.
+func (c *Conn) Release(n int) {
+	if !c.ended {
+		c.kept -= n
+		c.front.buffered -= n
+	}
+}
+
 // Take hands a request to the core; until Done no further message is read.
 func (c *Conn) Take(q router.Request, to router.Client) { c.request = c.front.core.Take(q, to) }
 
--- a/internal/extended/extended.go
+++ b/internal/extended/extended.go
@@ -18,6 +18,9 @@
 // Classes tells which classes write.
 type Classes interface{ Writes(class string) bool }
 
+// ahead is the number of bytes of answers that may wait for Flush or Sync.
+const ahead = 16 << 10
+
 // New returns the front's speaker for one connection.
 func New(classes Classes) func(*clients.Conn) clients.Speaker {
 	return func(c *clients.Conn) clients.Speaker {
@@ -32,7 +35,6 @@
 	statements map[string]*prepared
 	portals    map[string]*portal
 	out        []byte // answers that wait for Flush or Sync
-	held       int    // bytes of statements and portals
 	skip       bool   // an error ended the unit: all up to Sync is passed over
 	next       *work  // asked for, not yet handed to the core
 	running    *work
@@ -70,9 +72,16 @@
 
 // Message implements clients.Speaker.
 func (s *session) Message(m pgwire.Message) error {
-	if s.skip && m.Type != 'S' && m.Type != 'X' {
+	if m.Type == 'X' { // whatever waits is not wanted any more: nothing of it was sent
+		s.conn.End()
+		return nil
+	}
+	if s.skip && m.Type != 'S' {
 		return nil
 	}
+	if len(s.out) > ahead {
+		s.flush() // guards memory against a client that asks on and on without Sync
+	}
 	if s.next != nil && !s.joins(m) {
 		if s.write(s.next) && m.Type != 'S' {
 			// Guards the one-time run of a write: its unit holds nothing behind it, and it is sent only with Sync,
@@ -109,8 +118,6 @@
 		s.flush()
 	case 'S':
 		s.sync()
-	case 'X':
-		s.conn.End()
 	case 'F':
 		s.error(pgwire.NotSupported, "function calls are not supported")
 		s.skip = false
@@ -126,7 +133,7 @@
 func (s *session) joins(m pgwire.Message) bool {
 	switch m.Type {
 	case 'C':
-		return true
+		return len(s.next.closed) < ahead
 	case 'E':
 		name, _, err := pgwire.Execute(m.Body)
 		return err == nil && !s.next.execute && s.next.portal != nil && s.portals[name] == s.next.portal
@@ -160,23 +167,22 @@
 
 func (s *session) drop(name string) {
 	if p := s.portals[name]; p != nil {
-		s.held -= len(p.rest)
+		s.conn.Release(len(p.rest))
 		delete(s.portals, name)
 	}
 }
 
 func (s *session) forget(name string) {
 	if p := s.statements[name]; p != nil {
-		s.held -= len(p.Query)
+		s.conn.Release(len(p.Query))
 		delete(s.statements, name)
 	}
 }
 
-// room guards memory: what a client may have prepared is bounded in number and bytes.
+// room guards memory: what a client may have prepared is bounded in number, and what all have in bytes.
 func (s *session) room(n int) bool {
-	lim := s.conn.Limits()
-	if len(s.statements)+len(s.portals) >= lim.Prepared || s.held+n > 2*lim.Message {
-		s.error(pgwire.TooLarge, "too much is prepared on this connection")
+	if len(s.statements)+len(s.portals) >= s.conn.Limits().Prepared || !s.conn.Hold(n) {
+		s.error(pgwire.TooLarge, "too much is prepared")
 		return false
 	}
 	return true
@@ -202,7 +208,6 @@
 	}
 	s.forget(m.Name)
 	if s.room(len(m.Query)) {
-		s.held += len(m.Query)
 		s.statements[m.Name] = p
 		s.out = pgwire.Append(s.out, '1')
 	}
@@ -225,7 +230,6 @@
 	}
 	s.drop(m.Portal)
 	if s.room(len(m.Rest)) {
-		s.held += len(m.Rest)
 		s.portals[m.Portal] = &portal{stmt: p, rest: append([]byte(nil), m.Rest...)}
 		s.out = pgwire.Append(s.out, '2')
 	}
--- a/internal/extended/extended_test.go
+++ b/internal/extended/extended_test.go
@@ -302,10 +302,34 @@
 			t.Errorf("%s: %+v", want, a)
 		}
 	}
-	// A client that leaves before Sync has run nothing; one that breaks the protocol is told, and closed.
+	// What is prepared, and what waits for Sync, is bounded; the connection stays in step.
+	var p []byte
+	for i := range 1100 {
+		p = append(p, prepare(fmt.Sprint("s", i), sql("x", "look", 900))...)
+	}
+	c.Send(pgwire.Append(p, 'S'))
+	if a := c.Until('Z'); a.Code != pgwire.TooLarge || strings.Count(a.Types, "E") != 1 {
+		t.Errorf("%s", a.Code)
+	}
+	p = append(prepare("", sql("x2", "look", 2500)), pgwire.AppendBind(nil, pgwire.BindMessage{Rest: values})...)
+	p = pgwire.AppendExecute(p, "", 0)
+	c = standin.Dial(t, w.addr)
+	for range 2 * ahead / 5 {
+		p = pgwire.AppendTarget(p, 'C', 'S', "none")
+	}
+	c.Send(pgwire.Append(p, 'S'))
+	if a := c.Until('Z'); strings.Count(a.Types, "3") != 2*ahead/5 || !strings.HasPrefix(a.Types, "12DC3") {
+		t.Errorf("%.20s of %d", a.Types, len(a.Types))
+	}
+	// A client that leaves before Sync has run nothing, nor has one that says good-bye; one that breaks the protocol is told, and closed.
 	c.Send(job)
 	c.Close()
 	c = standin.Dial(t, w.addr)
+	c.Send(pgwire.Append(append([]byte(nil), job...), 'X'))
+	if a := c.Until('Z'); !a.Ended {
+		t.Errorf("%+v", a)
+	}
+	c = standin.Dial(t, w.addr)
 	c.Send([]byte{'B', 0, 0, 0, 5, 9})
 	if a := c.Until('Z'); !a.Ended || a.Code != pgwire.ProtocolViolation {
 		t.Errorf("%+v", a)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -11,7 +11,7 @@
 	Startup  int // bytes of a startup message
 	Message  int // bytes of any other message
 	Answer   int // bytes of an answer of a db machine
-	Buffered int // bytes that all clients together may have waiting to be read
+	Buffered int // bytes that all clients together may have waiting to be read, or prepared
 
 	Clients      int // connections of clients
 	Requests     int // requests in hand
@@ -53,7 +53,7 @@
 
 		Startup: 10_000, Message: 192 << 10, Answer: 192 << 10, Buffered: memoryMB << 20 / 8,
 		Clients: free / 2, Connections: free * 2 / 5, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
-		Requests: 4 * free, Prepared: 256, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
+		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
 		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Idle: idle * 3 / 4,
