Bound the end of the poller: nbio's Stop can wait for ever

Checked: the goroutine dump stood in nbio's Engine.Stop (engine.go:229, wgConn.Wait) under sock.Engine.Stop, with the loops idle. A connection that comes up while Stop looks through those it has is counted and never closed. The daemon calls the same at its end, where a hang would have lost the exit code of a planned restart. Fixed in sock.Engine.Stop by nbio's Shutdown with one second; a test holds a connection open for ever.

--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -3,6 +3,7 @@
 package sock
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
@@ -65,8 +66,13 @@
 	return e, nil
 }
 
-// Stop closes all connections and ends the poller.
-func (e *Engine) Stop() { e.nb.Stop() }
+// Stop closes all connections and ends the poller. nbio waits for ever for a connection that comes up while it looks
+// through those it has, so it gets a second at most: the end of the program must not hang on it.
+func (e *Engine) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	e.nb.Shutdown(ctx)
+}
 
 // Conn is one connection. Its methods belong to the loop's goroutine.
 type Conn struct {
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
+
 	"limeladder/internal/loop"
 )
 
@@ -102,3 +104,35 @@
 	})
 	wait(t, s.done, "failed")
 }
+
+// Stop ends although a connection comes up in the middle of it.
+func TestStopDoesNotHang(t *testing.T) {
+	l := loop.New()
+	e, err := New(l, 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Run(func() {})
+	defer l.Stop()
+	ln, err := e.Listen("127.0.0.2:0", slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler {
+		return echo{c}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	e.nb.OnClose(func(*nbio.Conn, error) { select {} }) // nbio never learns that one has closed
+	s := &sink{want: 1, done: make(chan string, 9)}
+	l.Post(func() {
+		e.Dial(ln.Addr().String(), time.Second, func(c *Conn, err error) Handler {
+			if err != nil || c.Write([]byte("x")) != nil {
+				s.done <- "failed"
+			}
+			return s
+		})
+	})
+	wait(t, s.done, "got")
+	stopped := make(chan string, 1)
+	go func() { e.Stop(); stopped <- "stopped" }()
+	wait(t, stopped, "stopped")
+}
