Make room from idle clients; newcomers wait in the backlog instead of being closed

Checked: the logs show 108 clients (the table's size) from 5 s on while 2 to 10 requests were in hand, so nearly all places belonged to clients that had asked once and stayed. Ruled out: memory (7 of 48 MB) and processor time (0.08 s a second at most). At fault: clients.Front.Accept wrote 53300 and closed as soon as the table was full, on connections whose query was already under way; nothing ever closed a started idle connection, a half message or an unread answer, and a silent connection kept its place for 10 s. Now the listener has as many places as the table and leaves the rest in the system's queue.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -147,7 +147,7 @@
 
 func (d *daemon) listen(field, addr string, speak func(*clients.Conn) clients.Speaker) error {
 	f := clients.New(d.loop, d.lim, d.log, d.core, speak)
-	l, err := d.engine.Listen(addr, d.log, f.Accept)
+	l, err := d.engine.Listen(addr, d.lim.Clients, d.log, f.Accept)
 	if err != nil {
 		return fmt.Errorf("%s: %w", field, err)
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -3,8 +3,10 @@
 package clients
 
 import (
+	"cmp"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"limeladder/internal/limits"
@@ -41,28 +43,57 @@
 	buffered int // bytes of all clients that wait to be read or are kept for them
 }
 
-// New returns a Front that is not ready yet. speak makes the Speaker of each connection.
+// New returns a Front that is not ready yet. speak makes the Speaker of each connection. It is called before the loop
+// runs.
 func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, c Core, speak func(*Conn) Speaker) *Front {
-	return &Front{loop: l, lim: lim, log: log, core: c, speak: speak, conns: map[*Conn]struct{}{}}
+	f := &Front{loop: l, lim: lim, log: log, core: c, speak: speak, conns: map[*Conn]struct{}{}}
+	l.Post(f.sweep)
+	return f
 }
 
 // Ready says that empty queries may be answered from now on: the platform sends clients after that.
 func (f *Front) Ready() { f.ready = true }
 
-// Accept takes a new connection, or turns it away with nil.
+// Accept takes a new connection. The listener bounds how many there are.
 func (f *Front) Accept(s *sock.Conn) sock.Handler {
-	if len(f.conns) >= f.lim.Clients {
-		s.Write(pgwire.AppendError(nil, pgwire.Error{Fatal: true, Code: pgwire.TooManyConnections,
-			Message: "too many connections", After: time.Second}))
-		return nil
-	}
-	c := &Conn{front: f, sock: s, reader: pgwire.NewReader(f.lim.Message, f.lim.Startup)}
+	now := f.loop.Now()
+	c := &Conn{front: f, sock: s, reader: pgwire.NewReader(f.lim.Message, f.lim.Startup), openAt: now, lastAt: now, tookAt: now}
 	c.speaker = f.speak(c)
 	f.conns[c] = struct{}{}
-	c.start = f.loop.After(f.lim.ClientStart, c.End)
 	return c
 }
 
+// sweep closes connections that are overdue, and makes room.
+func (f *Front) sweep() {
+	now := f.loop.Now()
+	for c := range f.conns {
+		if why := c.overdue(now); why != "" {
+			c.fatal(pgwire.ProtocolViolation, why)
+		}
+	}
+	f.room(now)
+	f.loop.After(f.lim.ClientSweep, f.sweep)
+}
+
+// room closes those that have asked for nothing for the longest time. Guards the table against clients that ask once
+// and stay, or say nothing: usual ones must find a place. One that has a request, or has just come, is left alone.
+func (f *Front) room(now time.Duration) {
+	over := len(f.conns) - f.lim.ClientsEasy
+	if over <= 0 {
+		return
+	}
+	var spare []*Conn
+	for c := range f.conns {
+		if c.spare(now) {
+			spare = append(spare, c)
+		}
+	}
+	slices.SortFunc(spare, func(a, b *Conn) int { return cmp.Compare(a.lastAt, b.lastAt) })
+	for _, c := range spare[:min(over, len(spare))] {
+		c.End()
+	}
+}
+
 // Drain closes each connection as soon as it is between requests. New ones serve what they bring.
 func (f *Front) Drain() {
 	f.draining = true
@@ -89,13 +120,52 @@
 	speaker Speaker
 	sock    *sock.Conn
 	reader  *pgwire.Reader
-	start   *loop.Timer
 	started bool
+	asked   bool // a message has come since the start
 	ended   bool
 	request string // the core's handle of the request in hand
 	held    int    // its share of front.buffered
 	kept    int    // the same, of what its Speaker keeps between requests
 	cameAt  time.Duration
+	openAt  time.Duration // when it was accepted
+	lastAt  time.Duration // when a message was whole or an answer was written last
+	partAt  time.Duration // since when a part of a message waits, 0 = none does
+	tookAt  time.Duration // when it had taken all that it was sent, or some of it
+	unsent  int           // what it had not taken then
+}
+
+// overdue says what a client has failed to do in time.
+func (c *Conn) overdue(now time.Duration) string {
+	lim := c.front.lim
+	if n := c.sock.Unsent(); n == 0 || n < c.unsent {
+		c.tookAt, c.unsent = now, n
+	} else {
+		c.unsent = n
+	}
+	switch {
+	case now-c.tookAt > lim.ClientUnread:
+		return "answers are not read"
+	case c.request != "":
+		return ""
+	case !c.started && now-c.openAt > lim.ClientStart:
+		return "no startup message in time"
+	case c.started && !c.asked && now-c.openAt > lim.ClientFirst:
+		return "no command in time"
+	case c.partAt > 0 && now-c.partAt > lim.ClientPart:
+		return "a message does not end"
+	case c.started && !c.speaker.Idle() && now-c.lastAt > lim.ClientUnit:
+		return "a unit of work does not go on"
+	}
+	return ""
+}
+
+// spare says whether the connection may be closed to make room for others.
+func (c *Conn) spare(now time.Duration) bool {
+	lim := c.front.lim
+	if !c.started {
+		return now-c.openAt > lim.ClientSilent && c.partAt == 0
+	}
+	return c.request == "" && c.partAt == 0 && c.speaker.Idle() && now-c.lastAt > lim.ClientIdle
 }
 
 // End closes the connection.
@@ -104,7 +174,6 @@
 		return
 	}
 	c.ended = true
-	c.start.Stop()
 	c.sock.Finish(c.front.lim.Flush) // an answer of which the system has taken a part only must not be cut
 	c.gone()
 }
@@ -124,7 +193,6 @@
 func (c *Conn) Closed(error) {
 	if !c.ended {
 		c.ended = true
-		c.start.Stop()
 		c.gone()
 	}
 }
@@ -142,6 +210,11 @@
 		if c.held > 2*f.lim.Message || f.buffered > f.lim.Buffered {
 			c.fatal(pgwire.TooLarge, "too much sent ahead")
 		}
+		if c.request != "" || c.held == 0 {
+			c.partAt = 0
+		} else if c.partAt == 0 {
+			c.partAt = c.cameAt
+		}
 	}
 }
 
@@ -156,6 +229,8 @@
 		if !ok {
 			return
 		}
+		c.partAt, c.lastAt = 0, c.front.loop.Now()
+		c.asked = c.started
 		if !c.started {
 			err = c.startup(m.Body)
 		} else {
@@ -169,8 +244,8 @@
 
 // Write sends p; a broken connection is the client's leaving.
 func (c *Conn) Write(p []byte) {
-	if !c.ended && c.sock.Write(p) != nil {
-		c.End()
+	if !c.ended && (c.sock.Write(p) != nil || c.sock.Unsent() > c.front.lim.Unread) {
+		c.End() // also guards memory against a client that asks and does not read
 	}
 }
 
@@ -217,12 +292,16 @@
 func (c *Conn) Done(next func() error) {
 	c.request = ""
 	c.cameAt = c.front.loop.Now() // the time spent behind an earlier answer does not count
+	c.lastAt = c.cameAt
 	if next != nil && !c.ended {
 		if err := next(); err != nil {
 			c.fatal(pgwire.ProtocolViolation, err.Error())
 		}
 	}
 	c.read()
+	if !c.ended && c.request == "" && c.reader.Waiting() > 0 {
+		c.partAt = c.front.loop.Now()
+	}
 	c.rest()
 }
 
@@ -242,7 +321,6 @@
 	case code>>16 != 3:
 		return errStart
 	}
-	c.start.Stop()
 	c.started = true
 	c.reader.Started()
 	c.Write(pgwire.AppendWelcome(nil))
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -47,16 +47,19 @@
 func (k *core) Leave(id string) { k.left <- id }
 
 func start(t *testing.T) (f *Front, k *core, l *loop.Loop, addr string) {
+	return startWith(t, limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second))
+}
+
+func startWith(t *testing.T, lim limits.Limits) (f *Front, k *core, l *loop.Loop, addr string) {
 	l = loop.New()
 	e, err := sock.New(l, 256)
 	if err != nil {
 		t.Fatal(err)
 	}
-	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	k = &core{loop: l, left: make(chan string, 9)}
 	f = New(l, lim, log, k, Platform)
-	ln, err := e.Listen("127.0.0.1:0", log, f.Accept)
+	ln, err := e.Listen("127.0.0.1:0", lim.Clients, log, f.Accept)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -204,3 +207,56 @@
 		}
 	}
 }
+
+// A table full of clients that say nothing, or have asked once and stay, has room for one that asks. Neither it nor
+// one whose request is in hand is closed for that.
+func TestRoom(t *testing.T) {
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	lim.Clients, lim.ClientsEasy, lim.ClientIdle = 6, 3, 200*time.Millisecond
+	_, k, _, addr := startWith(t, lim)
+	busy := standin.Dial(t, addr)
+	busy.Send(pgwire.AppendQuery(nil, sql("held")))
+	for range 4 {
+		c := standin.Dial(t, addr)
+		c.Send(pgwire.AppendQuery(nil, sql("served")))
+		if a := c.Until('Z'); a.Types != "TDCZ" {
+			t.Fatalf("%+v", a)
+		}
+	}
+	for range 20 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	c := standin.Dial(t, addr)
+	c.Send(pgwire.AppendQuery(nil, sql("served")))
+	if a := c.Until('Z'); a.Types != "TDCZ" {
+		t.Fatalf("%+v", a)
+	}
+	if len(k.left) > 0 {
+		t.Fatal("a connection with a request in hand was closed")
+	}
+}
+
+// Whoever does not go on is told so and closed, however it has begun.
+func TestOverdue(t *testing.T) {
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	lim.ClientStart, lim.ClientFirst, lim.ClientPart = 100*time.Millisecond, 150*time.Millisecond, 100*time.Millisecond
+	_, _, _, addr := startWith(t, lim)
+	start := pgwire.AppendStartup(nil, "user", "x")
+	whole := pgwire.AppendQuery(nil, sql("served"))
+	for name, p := range map[string][]byte{"silent": nil, "half a start": start[:9], "no command": start,
+		"half a command": append(start, whole[:20]...), "half a second command": append(append(start, whole...), whole[:3]...)} {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write(p)
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		if got, err := io.ReadAll(c); err != nil || !strings.Contains(string(got), "C"+pgwire.ProtocolViolation+"\x00") {
+			t.Errorf("%s: %q %v", name, got, err)
+		}
+	}
+}
--- a/internal/extended/extended_test.go
+++ b/internal/extended/extended_test.go
@@ -52,7 +52,7 @@
 	}
 	w := &world{loop: l, core: core, pool: servers.New(l, e, lim, log)}
 	core.Connect(w.pool, noEvents{})
-	ln, err := e.Listen("127.0.0.1:0", log, clients.New(l, lim, log, core, New(core)).Accept)
+	ln, err := e.Listen("127.0.0.1:0", lim.Clients, log, clients.New(l, lim, log, core, New(core)).Accept)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -14,6 +14,8 @@
 	Buffered int // bytes that all clients together may have waiting to be read, or prepared
 
 	Clients      int // connections of clients
+	ClientsEasy  int // beyond so many, those that ask for nothing are closed to make room
+	Unread       int // bytes of answers that one client may leave unread
 	Requests     int // requests in hand
 	Connections  int // connections to db machines, those being opened included
 	PerMachine   int // the same for one db machine
@@ -35,6 +37,13 @@
 	Flush        time.Duration // a connection that is to be closed may take this long to take its last answer
 	ComeAgain    time.Duration // a refusal for which the decision module gives no time says this
 	ClientStart  time.Duration // until a client has sent its startup message
+	ClientFirst  time.Duration // from then until its first command
+	ClientPart   time.Duration // until a message that has begun to come is whole
+	ClientUnit   time.Duration // until a unit of work that has begun goes on
+	ClientUnread time.Duration // until a client has taken something of what it is sent
+	ClientSilent time.Duration // one that has not started yet may be closed to make room after this,
+	ClientIdle   time.Duration // and one with no open request after this
+	ClientSweep  time.Duration // how often clients are looked at
 	WatchWait    time.Duration // what a watch asks discovery to wait
 	CallSlack    time.Duration // a call of discovery fails this long after its wait
 	ListFirst    time.Duration // the router is ready without a list after this
@@ -52,12 +61,16 @@
 		Memory: int64(memoryMB) << 20 * 3 / 4,
 
 		Startup: 10_000, Message: 192 << 10, Answer: 192 << 10, Buffered: memoryMB << 20 / 8,
-		Clients: free / 2, Connections: free * 2 / 5, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
+		Clients: free / 2, ClientsEasy: free * 3 / 8, Unread: 256 << 10, Connections: free * 2 / 5, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
 		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Idle: idle * 3 / 4,
-		AnswerBefore: 10 * time.Millisecond, Flush: 500 * time.Millisecond, ComeAgain: time.Second, ClientStart: 10 * time.Second,
+		AnswerBefore: 10 * time.Millisecond, Flush: 500 * time.Millisecond, ComeAgain: time.Second,
+		// A client that can't be served is owed an error or a close within 3 s of connecting.
+		ClientStart: 1500 * time.Millisecond, ClientFirst: 2100 * time.Millisecond, ClientPart: 1500 * time.Millisecond,
+		ClientUnit: 10 * time.Second, ClientUnread: 5 * time.Second,
+		ClientSilent: 100 * time.Millisecond, ClientIdle: 2 * time.Second, ClientSweep: 50 * time.Millisecond,
 		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, ListFirst: time.Second,
 		DrainAccept: 500 * time.Millisecond, DrainMost: longest + time.Second, Sweep: time.Second, Report: 10 * time.Second,
 	}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,9 @@
 	})
 	e.nb.OnClose(func(c *nbio.Conn, err error) {
 		if k, ok := c.Session().(*Conn); ok {
+			if k.release != nil {
+				k.release()
+			}
 			l.Post(func() { k.gone(err) })
 		}
 	})
@@ -82,6 +86,8 @@
 	closed bool
 	queued int64        // bytes handed to Write
 	sent   atomic.Int64 // bytes that the system has taken
+
+	release func() // gives back the listener's place, nil = it has none
 }
 
 func (c *Conn) data(p []byte) {
@@ -122,6 +128,9 @@
 // Flushed says whether the system has taken all that was written. Once the connection is closed it does not change.
 func (c *Conn) Flushed() bool { return c.sent.Load() == c.queued }
 
+// Unsent is the number of bytes handed to Write that the system has not taken yet.
+func (c *Conn) Unsent() int { return int(c.queued - c.sent.Load()) }
+
 // Finish closes the connection once the system has taken all that was written, or after the given time.
 func (c *Conn) Finish(within time.Duration) {
 	if c.closed {
@@ -149,7 +158,7 @@
 		std, err := net.DialTimeout("tcp", addr, within)
 		e.loop.Post(func() {
 			if err == nil {
-				err = e.adopt(std, func(c *Conn) Handler { return done(c, nil) })
+				err = e.adopt(std, nil, func(c *Conn) Handler { return done(c, nil) })
 			}
 			if err != nil {
 				done(nil, err)
@@ -159,16 +168,25 @@
 }
 
 // adopt hands a connection to the poller, in the loop: what the poller tells of it comes after open, which returns
-// nil to turn it away.
-func (e *Engine) adopt(std net.Conn, open func(c *Conn) Handler) error {
+// nil to turn it away. release, if not nil, is called once, when its descriptor is given back.
+func (e *Engine) adopt(std net.Conn, release func(), open func(c *Conn) Handler) error {
+	if release != nil {
+		release = sync.OnceFunc(release)
+	}
 	nb, err := nbio.NBConn(std)
 	if err != nil {
 		std.Close()
+		if release != nil {
+			release()
+		}
 		return err
 	}
-	c := &Conn{engine: e, nb: nb}
+	c := &Conn{engine: e, nb: nb, release: release}
 	nb.SetSession(c)
 	if _, err := e.nb.AddConn(nb); err != nil {
+		if release != nil {
+			release()
+		}
 		return err
 	}
 	if c.h = open(c); c.h == nil {
@@ -180,17 +198,21 @@
 
 // Listener accepts connections until it is closed.
 type Listener struct {
-	ln   net.Listener
-	done chan struct{}
+	ln     net.Listener
+	places chan struct{} // one for each connection that is open
+	closed chan struct{}
+	done   chan struct{}
 }
 
-// Listen accepts at addr. accept is called in the loop; it returns nil to turn the connection away.
-func (e *Engine) Listen(addr string, log *slog.Logger, accept func(c *Conn) Handler) (*Listener, error) {
+// Listen accepts at addr, so many connections at a time: further ones wait in the system's queue until there is
+// room, rather than being closed on what they have sent. accept is called in the loop; it returns nil to turn the
+// connection away.
+func (e *Engine) Listen(addr string, most int, log *slog.Logger, accept func(c *Conn) Handler) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	l := &Listener{ln: ln, done: make(chan struct{})}
+	l := &Listener{ln: ln, places: make(chan struct{}, most), closed: make(chan struct{}), done: make(chan struct{})}
 	go l.run(e, log, accept)
 	return l, nil
 }
@@ -198,8 +220,14 @@
 func (l *Listener) run(e *Engine, log *slog.Logger, accept func(c *Conn) Handler) {
 	defer close(l.done)
 	for {
+		select {
+		case l.places <- struct{}{}:
+		case <-l.closed:
+			return
+		}
 		std, err := l.ln.Accept()
 		if err != nil {
+			<-l.places
 			if ne, ok := err.(net.Error); ok && ne.Timeout() || !isClosed(err) {
 				// Guards against a hot loop while no descriptor is free.
 				log.Warn("accept failed", "err", err)
@@ -209,7 +237,7 @@
 			return
 		}
 		e.loop.Post(func() {
-			if err := e.adopt(std, accept); err != nil {
+			if err := e.adopt(std, func() { <-l.places }, accept); err != nil {
 				log.Warn("connection lost", "err", err)
 			}
 		})
@@ -222,6 +250,7 @@
 // Close stops accepting.
 func (l *Listener) Close() {
 	l.ln.Close()
+	close(l.closed)
 	<-l.done
 }
 
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -57,7 +57,7 @@
 
 func TestEchoOfMoreThanSocketsHold(t *testing.T) {
 	l, e := start(t)
-	ln, err := e.Listen("127.0.0.2:0", slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler { return echo{c} })
+	ln, err := e.Listen("127.0.0.2:0", 64, slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler { return echo{c} })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -88,7 +88,7 @@
 
 func TestRefusedDialIsToldOnce(t *testing.T) {
 	l, e := start(t)
-	ln, err := e.Listen("127.0.0.2:0", slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler { return echo{c} })
+	ln, err := e.Listen("127.0.0.2:0", 64, slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler { return echo{c} })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -114,7 +114,7 @@
 	}
 	go l.Run(func() {})
 	defer l.Stop()
-	ln, err := e.Listen("127.0.0.2:0", slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler {
+	ln, err := e.Listen("127.0.0.2:0", 64, slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler {
 		return echo{c}
 	})
 	if err != nil {
@@ -136,3 +136,40 @@
 	go func() { e.Stop(); stopped <- "stopped" }()
 	wait(t, stopped, "stopped")
 }
+
+// What is beyond the places waits for one: it is not closed.
+func TestPlaces(t *testing.T) {
+	l, e := start(t)
+	ln, err := e.Listen("127.0.0.2:0", 1, slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler { return echo{c} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	done := make(chan string, 9)
+	first := make(chan *Conn, 1)
+	open := func(h *sink, c chan *Conn) {
+		l.Post(func() {
+			e.Dial(ln.Addr().String(), time.Second, func(k *Conn, err error) Handler {
+				if err != nil {
+					t.Error(err)
+					return nil
+				}
+				k.Write([]byte("x"))
+				c <- k
+				return h
+			})
+		})
+	}
+	open(&sink{want: 1, done: done}, first)
+	wait(t, done, "got")
+	other := make(chan string, 9)
+	open(&sink{want: 1, done: other}, make(chan *Conn, 1))
+	select {
+	case got := <-other:
+		t.Fatal(got, "without a place")
+	case <-time.After(50 * time.Millisecond):
+	}
+	k := <-first
+	l.Post(k.Close)
+	wait(t, other, "got")
+}
