Bound what a flooding client may have waiting; refuse unfit statements; faulty clients go first

Ruled out: answers kept for slow readers (they read), and readers' buffers (lengths are checked at the header). At fault: sock.New's OnData copied every 32 KB that came into a closure on a queue without bound, so a client sending 60 MB was read as fast as it sent until the loop had closed it; clients.Conn.Data fed bytes to connections already ended; router.Take took unknown classes, deadlines of 0 and the id of an open request; a faulty connection kept its place for 2 s like any other; 40 descriptors were kept back of which 13 are used. Now at most 512 KB of a connection wait for the loop, in one buffer, and a peer beyond that is closed by the poller; Take refuses the unfit with an error; a faulty connection may go after 100 ms when room is needed; the second front does the same.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -62,7 +62,7 @@
 		d.lim.Clients /= 2 // both fronts share the descriptors
 	}
 	var err error
-	if d.engine, err = sock.New(d.loop, cfg.Limits.Sockets); err != nil {
+	if d.engine, err = sock.New(d.loop, cfg.Limits.Sockets, d.lim.Inbox); err != nil {
 		return nil, err
 	}
 	if err := d.open(dep); err != nil {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -18,7 +18,8 @@
 
 // Core takes requests.
 type Core interface {
-	Take(q router.Request, c router.Client) (id string)
+	// Take refuses with an error what must not reach a db machine.
+	Take(q router.Request, c router.Client) (id string, err error)
 	Leave(id string)
 }
 
@@ -122,6 +123,7 @@
 	reader  *pgwire.Reader
 	started bool
 	asked   bool // a message has come since the start
+	faulty  bool // what it sent last was unfit
 	ended   bool
 	request string // the core's handle of the request in hand
 	held    int    // its share of front.buffered
@@ -165,7 +167,11 @@
 	if !c.started {
 		return now-c.openAt > lim.ClientSilent && c.partAt == 0
 	}
-	return c.request == "" && c.partAt == 0 && c.speaker.Idle() && now-c.lastAt > lim.ClientIdle
+	idle := lim.ClientIdle
+	if c.faulty {
+		idle = lim.ClientSilent
+	}
+	return c.request == "" && c.partAt == 0 && c.speaker.Idle() && now-c.lastAt > idle
 }
 
 // End closes the connection.
@@ -199,6 +205,9 @@
 
 // Data implements sock.Handler.
 func (c *Conn) Data(p []byte) {
+	if c.ended {
+		return // it is closed once it has taken its last answer
+	}
 	c.cameAt = c.front.loop.Now()
 	c.reader.Feed(p)
 	c.read()
@@ -230,7 +239,7 @@
 			return
 		}
 		c.partAt, c.lastAt = 0, c.front.loop.Now()
-		c.asked = c.started
+		c.asked, c.faulty = c.started, false
 		if !c.started {
 			err = c.startup(m.Body)
 		} else {
@@ -285,8 +294,15 @@
 	}
 }
 
-// Take hands a request to the core; until Done no further message is read.
-func (c *Conn) Take(q router.Request, to router.Client) { c.request = c.front.core.Take(q, to) }
+// Take hands a request to the core; until Done no further message is read. An error says that it is unfit, and that
+// nothing was taken.
+func (c *Conn) Take(q router.Request, to router.Client) (err error) {
+	c.request, err = c.front.core.Take(q, to)
+	return err
+}
+
+// Fault notes that what the client has sent is unfit: it is among the first to go when room is needed.
+func (c *Conn) Fault() { c.faulty = true }
 
 // Done ends the request in hand. next, if any, is called before what was sent behind the request is read.
 func (c *Conn) Done(next func() error) {
--- a/internal/clients/simple.go
+++ b/internal/clients/simple.go
@@ -37,6 +37,7 @@
 		c.skip = false
 		c.Write(pgwire.AppendReady(nil))
 	case 'P', 'B', 'D', 'E', 'C', 'H', 'F':
+		c.Fault()
 		c.skip = m.Type != 'F'
 		p := pgwire.AppendError(nil, pgwire.Error{Code: pgwire.NotSupported, Message: "simple queries only"})
 		if m.Type == 'F' {
@@ -61,12 +62,14 @@
 		return
 	}
 	h, err := job.Head()
+	if err == nil {
+		err = c.Take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
+			At: c.cameAt, After: h.After, Retry: h.Retry, Job: job}, c)
+	}
 	if err != nil {
+		c.Fault()
 		c.Write(pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error{Code: pgwire.BadStatement, Message: err.Error()})))
-		return
 	}
-	c.Take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
-		At: c.cameAt, After: h.After, Retry: h.Retry, Job: job}, c)
 }
 
 // answered sends the end of a request and goes on to what was sent behind it.
--- a/internal/extended/extended.go
+++ b/internal/extended/extended.go
@@ -305,8 +305,18 @@
 	w := s.next
 	s.next, s.running = nil, w
 	h := w.stmt.head
-	s.conn.Take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
-		At: w.at, After: h.After, Retry: h.Retry, Job: w}, s)
+	s.take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
+		At: w.at, After: h.After, Retry: h.Retry, Job: w})
+}
+
+// take hands a request to the core, and answers one that is unfit.
+func (s *session) take(q router.Request) {
+	if err := s.conn.Take(q, s); err != nil {
+		s.conn.Fault()
+		s.out = pgwire.AppendError(s.out, pgwire.Error{Code: pgwire.BadStatement, Message: err.Error()})
+		s.settle(true)
+		s.after = nil // it is passed over, like all up to Sync
+	}
 }
 
 func (s *session) simple(body []byte) error {
@@ -333,13 +343,13 @@
 	}
 	s.running = &work{ready: true}
 	s.flush()
-	s.conn.Take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
-		At: s.conn.CameAt(), After: h.After, Retry: h.Retry, Job: rows{job}}, s)
+	s.take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
+		At: s.conn.CameAt(), After: h.After, Retry: h.Retry, Job: rows{job}})
 	return nil
 }
 
-// ended goes on after the answer to the work that ran.
-func (s *session) ended(failed bool) {
+// settle closes the work that ran.
+func (s *session) settle(failed bool) {
 	w := s.running
 	s.running = nil
 	if failed {
@@ -350,6 +360,11 @@
 	if w.ready {
 		s.sync()
 	}
+}
+
+// ended goes on after the answer to the work that ran.
+func (s *session) ended(failed bool) {
+	s.settle(failed)
 	m := s.after
 	s.after = nil
 	s.conn.Done(func() error {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -11,6 +11,7 @@
 	Startup  int // bytes of a startup message
 	Message  int // bytes of any other message
 	Answer   int // bytes of an answer of a db machine
+	Inbox    int // bytes of one connection that have come and are not looked at yet
 	Buffered int // bytes that all clients together may have waiting to be read, or prepared
 
 	Clients      int // connections of clients
@@ -41,7 +42,7 @@
 	ClientPart   time.Duration // until a message that has begun to come is whole
 	ClientUnit   time.Duration // until a unit of work that has begun goes on
 	ClientUnread time.Duration // until a client has taken something of what it is sent
-	ClientSilent time.Duration // one that has not started yet may be closed to make room after this,
+	ClientSilent time.Duration // one that has not started, or made a fault last, may be closed to make room after this,
 	ClientIdle   time.Duration // and one with no open request after this
 	ClientSweep  time.Duration // how often clients are looked at
 	WatchWait    time.Duration // what a watch asks discovery to wait
@@ -56,12 +57,12 @@
 // For fills the limits from what the platform grants and the settings say.
 func For(memoryMB, sockets int, connect, idle, longest time.Duration) Limits {
 	// A few descriptors belong to the runtime, pollers, listeners, discovery and syslog.
-	free := sockets - 40
+	free := sockets - 32
 	return Limits{
-		Memory: int64(memoryMB) << 20 * 3 / 4,
+		Memory: int64(memoryMB) << 20 * 3 / 5, // the rest is for what the collector does not see, and for its being late
 
-		Startup: 10_000, Message: 192 << 10, Answer: 192 << 10, Buffered: memoryMB << 20 / 8,
-		Clients: free / 2, ClientsEasy: free * 3 / 8, Unread: 256 << 10, Connections: free * 2 / 5, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
+		Startup: 10_000, Message: 192 << 10, Answer: 192 << 10, Inbox: 512 << 10, Buffered: memoryMB << 20 / 8,
+		Clients: free * 3 / 5, ClientsEasy: free / 2, Unread: 256 << 10, Connections: free * 2 / 5, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -149,3 +149,15 @@
 		t.Fatalf("%q %d %v", portal, rows, err)
 	}
 }
+
+// A long message does not hold its memory once it is read.
+func TestReaderGivesBack(t *testing.T) {
+	r := NewReader(1<<20, 0)
+	r.Feed(AppendQuery(nil, string(make([]byte, 100_000))))
+	if _, ok, err := r.Next(); !ok || err != nil {
+		t.Fatal(ok, err)
+	}
+	if _, ok, _ := r.Next(); ok || cap(r.buf) > 0 {
+		t.Fatalf("%d bytes are kept", cap(r.buf))
+	}
+}
--- a/internal/pgwire/reader.go
+++ b/internal/pgwire/reader.go
@@ -26,9 +26,6 @@
 func (r *Reader) Feed(p []byte) {
 	if r.start == len(r.buf) {
 		r.buf, r.start = r.buf[:0], 0
-		if cap(r.buf) > 4*len(p) && cap(r.buf) > 16<<10 {
-			r.buf = nil // one long message must not hold its memory for the life of the connection
-		}
 	} else if r.start > len(r.buf)/2 {
 		r.buf = append(r.buf[:0], r.buf[r.start:]...)
 		r.start = 0
@@ -48,6 +45,9 @@
 // Next returns the next whole message; ok is false when it has not come yet. The length is checked as soon as it
 // is there, before anything of that size is kept.
 func (r *Reader) Next() (m Message, ok bool, err error) {
+	if r.start == len(r.buf) && cap(r.buf) > 16<<10 {
+		r.buf, r.start = nil, 0 // one long message must not hold its memory for the life of the connection
+	}
 	p := r.buf[r.start:]
 	head, most := 1, r.most
 	if r.startup > 0 {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -8,7 +8,7 @@
 	if q.over {
 		return
 	}
-	q.over = true
+	r.end(q)
 	r.count.Served++
 	q.client.Served(a)
 	r.forget(q)
@@ -18,7 +18,7 @@
 	if q.over {
 		return
 	}
-	q.over = true
+	r.end(q)
 	r.count.Refused++
 	r.log.Debug("refused", "request", q.Label, "class", q.Class, "tries", q.tries, "after", r.loop.Now()-q.At)
 	if after <= 0 {
@@ -32,7 +32,7 @@
 	if q.over {
 		return
 	}
-	q.over = true
+	r.end(q)
 	r.count.Failed++
 	r.log.Debug("failed", "request", q.Label, "class", q.Class, "tries", q.tries, "after", r.loop.Now()-q.At, "why", why)
 	r.events.Event("failed", "request", q.Label, "class", q.Class, "why", why)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -86,7 +86,8 @@
 
 	pending []balance.Event
 	inHand  map[string]*request
-	last    uint64 // the number of the newest request
+	open    map[string]bool // the labels of those that are owed an answer
+	last    uint64          // the number of the newest request
 	wake    *loop.Timer
 	count   Counts
 }
@@ -113,7 +114,7 @@
 		return nil, err
 	}
 	r := &Router{loop: l, lim: lim, log: log, module: m, events: ev, classes: map[string]balance.Class{},
-		inHand: map[string]*request{}}
+		inHand: map[string]*request{}, open: map[string]bool{}}
 	for _, c := range cfg.Classes {
 		r.classes[c.Name] = c
 	}
--- a/internal/router/takein.go
+++ b/internal/router/takein.go
@@ -1,12 +1,34 @@
 package router
 
 import (
+	"errors"
 	"strconv"
 	"time"
 )
 
+// What makes a request unfit: it is turned away before anything is kept of it.
+var (
+	ErrClass    = errors.New("no class of that name")
+	ErrDeadline = errors.New("no time is left to answer in")
+	ErrOpen     = errors.New("a request of that id is open")
+)
+
 // Take takes a request from a front and returns its handle, for Leave.
-func (r *Router) Take(q Request, c Client) (id string) {
+func (r *Router) Take(q Request, c Client) (id string, err error) {
+	class, ok := r.classes[q.Class]
+	switch {
+	case !ok:
+		return "", ErrClass
+	case q.Deadline <= 0:
+		return "", ErrDeadline
+	case r.open[q.Label]:
+		// Guards against one client getting, or spoiling, what another has asked for.
+		return "", ErrOpen
+	}
+	q.Deadline = min(q.Deadline, class.GiveUp) // no client of the class waits longer, whatever this one says
+	if q.Label != "" {
+		r.open[q.Label] = true
+	}
 	r.last++
 	// Clients' ids are not trusted to be unique: a repeated one must not meet another request's attempt.
 	t := &request{Request: q, id: strconv.FormatUint(r.last, 36), client: c}
@@ -14,7 +36,13 @@
 	// Guards the order of events: the answer must not come before Take has returned.
 	t.dieAt = q.At + q.Deadline - r.answerBefore(q.Deadline)
 	r.admit(t)
-	return t.id
+	return t.id, nil
+}
+
+// end notes that a request is owed nothing any more.
+func (r *Router) end(q *request) {
+	q.over = true
+	delete(r.open, q.Label)
 }
 
 // answerBefore is how long before the client's deadline the answer has to be on its way.
@@ -26,7 +54,7 @@
 	if q == nil || q.over {
 		return
 	}
-	q.over = true
+	r.end(q)
 	r.count.Left++
 	r.leave(q)
 	r.forget(q)
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -19,7 +20,7 @@
 
 // Handler is told what happens on a connection. After Closed nothing more comes.
 type Handler interface {
-	Data(p []byte) // p is the handler's to keep
+	Data(p []byte) // p is valid until it returns
 	Closed(err error)
 }
 
@@ -33,8 +34,9 @@
 // Finishing is the number of connections that are to close once their last bytes are taken.
 func (e *Engine) Finishing() int { return e.finishing }
 
-// New starts the poller. maxFiles bounds the descriptors it has room for.
-func New(l *loop.Loop, maxFiles int) (*Engine, error) {
+// New starts the poller. maxFiles bounds the descriptors it has room for, inbox the bytes of one connection that may
+// wait for the loop.
+func New(l *loop.Loop, maxFiles, inbox int) (*Engine, error) {
 	logging.SetLevel(logging.LevelNone)
 	// nbio keeps a table of this many entries; its default follows the hard limit and may take 16 MB.
 	if nbio.MaxOpenFiles > maxFiles+64 {
@@ -47,8 +49,7 @@
 	})}
 	e.nb.OnData(func(c *nbio.Conn, data []byte) {
 		if k, ok := c.Session().(*Conn); ok {
-			p := append([]byte(nil), data...) // the poller reads into the same buffer again
-			l.Post(func() { k.data(p) })
+			k.receive(c, data, inbox)
 		}
 	})
 	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
@@ -88,9 +89,37 @@
 	sent   atomic.Int64 // bytes that the system has taken
 
 	release func() // gives back the listener's place, nil = it has none
+
+	mu     sync.Mutex
+	in     []byte // what has come and the loop has not looked at
+	posted bool   // the loop is told of it
+}
+
+// receive keeps what has come for the loop; the poller's goroutine calls it. Guards memory against a peer that sends
+// faster than the loop reads: it is closed, nothing that is served sends so much ahead.
+func (c *Conn) receive(nb *nbio.Conn, p []byte, most int) {
+	c.mu.Lock()
+	full := len(c.in)+len(p) > most
+	if !full {
+		c.in = append(c.in, p...) // the poller reads into the same buffer again
+	}
+	post := !c.posted && !full
+	c.posted = c.posted || post
+	c.mu.Unlock()
+	if full {
+		nb.CloseWithError(errFlood)
+	} else if post {
+		c.engine.loop.Post(c.data)
+	}
 }
 
-func (c *Conn) data(p []byte) {
+var errFlood = errors.New("too much sent at once")
+
+func (c *Conn) data() {
+	c.mu.Lock()
+	p := c.in
+	c.in, c.posted = nil, false
+	c.mu.Unlock()
 	if !c.closed {
 		c.h.Data(p)
 	}
