Reload the configuration on SIGHUP and move the watch; watch a list of version 0

Checked: Go's default for SIGHUP is to end the program, and main asked for SIGTERM and SIGINT only, after the poller and listeners were up. Ruled out: that discovery answers watches with whole lists (after the change its answers are changes). Now signals are asked for on main's first line; the file is read off the loop; its discovery wins over the environment, at the start too, so that a restart does not go back; the watch moves with the whole list first and the old connection is dropped. A file with a fault is one line in the log and changes nothing.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"limeladder/balance"
@@ -72,11 +74,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	d.pool = servers.New(d.loop, d.engine, d.lim, log)
-	version := int64(0)
-	if cfg.Known != nil {
-		version = cfg.Known.Version
-	}
-	d.watcher = list.New(d.loop, d.engine, d.lim, log, cfg.Discovery, version, d)
+	d.watcher = list.New(d.loop, d.engine, d.lim, log, cfg.Discovery, d)
 	d.core.Connect(d.pool, d.watcher)
 	if err := d.listen("listen", cfg.Listen, clients.Platform); err != nil {
 		return nil, err
@@ -233,6 +231,30 @@
 	}
 }
 
+// reload takes a new configuration: the watch moves to its discovery. The rest is only read at the start.
+func (d *daemon) reload(cfg *config.Config) {
+	d.log.Info("reloaded", "discovery", cfg.Discovery)
+	d.events.Event("reloaded", "discovery", cfg.Discovery)
+	d.watcher.Move(cfg.Discovery)
+}
+
+// heed acts on signals until the program ends.
+func (d *daemon) heed(signals <-chan os.Signal, getenv func(string) string) {
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			d.loop.Post(d.drain)
+			continue
+		}
+		// Here, off the loop: a file that is slow to read must not hold up requests.
+		cfg, err := config.Load(getenv)
+		if err != nil {
+			d.log.Error("configuration not taken, the old one stays", "err", err)
+			continue
+		}
+		d.loop.Post(func() { d.reload(cfg) })
+	}
+}
+
 // drain ends the program after SIGTERM: connections are still taken for a while, since the platform sends some;
 // what is taken is finished.
 func (d *daemon) drain() {
--- a/cmd/limeladder/main.go
+++ b/cmd/limeladder/main.go
@@ -15,6 +15,9 @@
 )
 
 func main() {
+	// First of all: Go ends a program on a SIGHUP that nobody has asked for, however early it comes.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "limeladder:", err)
@@ -42,11 +45,6 @@
 		os.Exit(1)
 	}
 	debug.SetMemoryLimit(d.lim.Memory)
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-term
-		d.loop.Post(d.drain)
-	}()
+	go d.heed(signals, os.Getenv)
 	d.run()
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -72,7 +72,8 @@
 	Balance   balance.Config `json:"-"`
 }
 
-// Load reads the file that EDGE_CONFIG names; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY override it.
+// Load reads the file that EDGE_CONFIG names; EDGE_NAME and EDGE_LISTEN override it, EDGE_DISCOVERY stands in where it
+// names no discovery.
 func Load(getenv func(string) string) (*Config, error) {
 	path := getenv("EDGE_CONFIG")
 	if path == "" {
@@ -95,11 +96,15 @@
 		}
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery} {
+	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
 	}
+	// The environment stays as it was at the start while the file is replaced: the file is the newer of the two.
+	if c.Discovery == "" {
+		c.Discovery = getenv("EDGE_DISCOVERY")
+	}
 	if err := address(c.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -29,7 +29,8 @@
 	addr   string
 	sink   Sink
 
-	version int64 // of the newest list, 0 = none
+	version int64 // of the newest list
+	whole   bool  // the next call asks for the whole list: this discovery has given none yet
 	conn    *sock.Conn
 	reply   *response   // of the call that is out, nil = none
 	limit   *loop.Timer // its deadline
@@ -39,9 +40,20 @@
 	stopped bool
 }
 
-// New returns a Watcher that asks nothing before Track. version is that of the list already known.
-func New(l *loop.Loop, e *sock.Engine, lim limits.Limits, log *slog.Logger, addr string, version int64, s Sink) *Watcher {
-	return &Watcher{loop: l, engine: e, lim: lim, log: log, addr: addr, version: version, sink: s}
+// New returns a Watcher that asks nothing before Track.
+func New(l *loop.Loop, e *sock.Engine, lim limits.Limits, log *slog.Logger, addr string, s Sink) *Watcher {
+	return &Watcher{loop: l, engine: e, lim: lim, log: log, addr: addr, whole: true, sink: s}
+}
+
+// Move goes on at another address, with the whole list first: the versions of two discoveries need not agree. What
+// the old one may still say, or its closing, is no more heard.
+func (w *Watcher) Move(addr string) {
+	if addr == w.addr {
+		return
+	}
+	w.addr, w.whole = addr, true
+	w.drop()
+	w.Track()
 }
 
 // Track starts to follow the list; after a failure it has to be called again.
@@ -71,7 +83,9 @@
 func (w *Watcher) call() {
 	w.reply = &response{header: w.lim.ListHeader, most: w.lim.ListBytes}
 	path, wait := "/v1/endpoints", time.Duration(0)
-	if w.version > 0 {
+	// Guards discovery, whose capacity all routers share: 0 is a version like any other. Taken for none, it made
+	// the whole list be asked for again and again.
+	if !w.whole {
 		wait = w.lim.WatchWait
 		path = fmt.Sprintf("/v1/endpoints?index=%d&wait=%d", w.version, wait.Milliseconds())
 	}
@@ -176,7 +190,7 @@
 			return
 		}
 	}
-	w.version = l.Version
+	w.version, w.whole = l.Version, false
 	w.sink.Listed(l)
 	// At once: a watch goes on only if its next call comes within 200 ms.
 	if !w.stopped {
