Check the bodies of answers; rest a connection behind each; believe nothing of spoilt ones

Checked: the log of rejected bytes by kind; all that passed had the right message types (Whole compared types only). Ruled out by the code read: a length above the limit was already refused at the header; bytes behind an answer in the same segment already closed the connection, but those in a later segment met the next request if the connection had been handed to a waiting call at once, as free() did. At fault: clients.Query.Whole and its kin; servers.conn.result kept role and position of an answer that was not whole; free(), called on ReadyForQuery; servers.report believed the fields in front of one that can't be read; a broken length ended as Reset, which counts towards an outage of the member; a length too long by little waited for the deadline. Now pgwire.Shape checks each body (columns, lengths, formats, tag and its count, error code), the job the order and the tag's command; an answer that stops within a message ends after the connect timeout; spoilt is Error with no role and no position; a connection rests 2 ms and its socket is peeked at before it is used again, which also catches connections that the db machine has closed.

--- a/internal/clients/job.go
+++ b/internal/clients/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"limeladder/internal/pgwire"
+	"limeladder/internal/servers"
 	"limeladder/internal/statement"
 )
 
@@ -30,8 +31,21 @@
 	return pgwire.AppendQuery(nil, q.head.WithDeadline(q.sql, left))
 }
 
-// Whole implements servers.Job: one row of one column.
-func (q *Query) Whole(types []byte) bool { return string(types) == "TDC" }
+// Whole implements servers.Job: one row of one column, from a command such as the statement's.
+func (q *Query) Whole(a *servers.Answer) bool {
+	return string(a.Types) == "TDC" && a.Shape.Columns == 1 && q.Fits(a.Shape.Tag)
+}
+
+// Fits says whether a command tag is one that the statement can have.
+func (q *Query) Fits(tag string) bool {
+	_, text, _ := strings.Cut(q.sql, "*/")
+	verb, _, _ := strings.Cut(strings.TrimSpace(text), " ")
+	switch verb = strings.ToUpper(verb); verb {
+	case "SELECT", "INSERT", "UPDATE", "DELETE":
+		return strings.HasPrefix(tag, verb+" ")
+	}
+	return true
+}
 
 // Refusal is the error of a request that may be sent again without harm.
 func Refusal(after time.Duration) pgwire.Error {
--- a/internal/extended/job.go
+++ b/internal/extended/job.go
@@ -6,6 +6,7 @@
 
 	"limeladder/internal/clients"
 	"limeladder/internal/pgwire"
+	"limeladder/internal/servers"
 )
 
 // Messages implements servers.Job: the statement is prepared anew on whichever db machine the attempt goes to, and
@@ -29,8 +30,8 @@
 }
 
 // Whole implements servers.Job.
-func (w *work) Whole(types []byte) bool {
-	rest, ok := strings.CutPrefix(string(types), "1")
+func (w *work) Whole(a *servers.Answer) bool {
+	rest, ok := strings.CutPrefix(string(a.Types), "1")
 	if !ok {
 		return false
 	}
@@ -57,10 +58,10 @@
 type rows struct{ *clients.Query }
 
 // Whole implements servers.Job.
-func (rows) Whole(types []byte) bool {
-	rest, described := strings.CutPrefix(string(types), "T")
+func (r rows) Whole(a *servers.Answer) bool {
+	rest, described := strings.CutPrefix(string(a.Types), "T")
 	if described {
 		rest = strings.TrimLeft(rest, "D")
 	}
-	return rest == "C"
+	return rest == "C" && r.Fits(a.Shape.Tag)
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -33,6 +33,8 @@
 	Connect      time.Duration // until a db machine has welcomed a connection
 	Redial       time.Duration // after this a connection that has not come up is dialled once more
 	Probe        time.Duration // until a probe is answered
+	Rest         time.Duration // a connection to a db machine carries nothing for this long behind an answer
+	Stall        time.Duration // until a message of a db machine that has begun to come goes on
 	Idle         time.Duration // an idle connection older than this is not used
 	AnswerBefore time.Duration // the final answer comes this long before the client gives up
 	Flush        time.Duration // a connection that is to be closed may take this long to take its last answer
@@ -61,12 +63,12 @@
 	return Limits{
 		Memory: int64(memoryMB) << 20 * 3 / 5, // the rest is for what the collector does not see, and for its being late
 
-		Startup: 10_000, Message: 192 << 10, Answer: 192 << 10, Inbox: 512 << 10, Buffered: memoryMB << 20 / 8,
+		Startup: 10_000, Message: 192 << 10, Answer: 96 << 10, Inbox: 512 << 10, Buffered: memoryMB << 20 / 8,
 		Clients: free * 3 / 5, ClientsEasy: free / 2, Unread: 256 << 10, Connections: free * 2 / 5, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
-		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Idle: idle * 3 / 4,
+		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Rest: 2 * time.Millisecond, Stall: connect, Idle: idle * 3 / 4,
 		AnswerBefore: 10 * time.Millisecond, Flush: 500 * time.Millisecond, ComeAgain: time.Second,
 		// A client that can't be served is owed an error or a close within 3 s of connecting.
 		ClientStart: 1500 * time.Millisecond, ClientFirst: 2100 * time.Millisecond, ClientPart: 1500 * time.Millisecond,
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 )
@@ -161,3 +162,17 @@
 		t.Fatalf("%d bytes are kept", cap(r.buf))
 	}
 }
+
+func FuzzShape(f *testing.F) {
+	f.Add([]byte("\x00\x01data\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"))
+	f.Add([]byte("\x00\x01\x00\x00\x00\x01v"))
+	f.Add([]byte("INSERT 0 1\x00"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		for _, typ := range []byte("TDCtE12nsI?") {
+			s := NewShape()
+			if s.Add(Message{Type: typ, Body: body}) == nil && (s.Columns > len(body) || strings.Contains(s.Tag, "\x00")) {
+				t.Fatalf("%c: %+v", typ, s)
+			}
+		}
+	})
+}
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -1,6 +1,8 @@
 package servers
 
 import (
+	"bytes"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +20,8 @@
 	sock    *sock.Conn
 	reader  *pgwire.Reader
 	welcome *loop.Timer // until it is welcomed
+	rest    *loop.Timer // until it may carry the next call
+	stall   *loop.Timer // until what has begun to come goes on
 	ready   bool
 	ended   bool
 	call    *call
@@ -26,6 +30,7 @@
 	// of the answer that is coming in
 	answer *Answer
 	code   string
+	bad    bool // it is spoilt
 	role   balance.Role
 	pos    time.Duration
 }
@@ -33,7 +38,7 @@
 // dial opens a connection for whoever waits first.
 func (m *machine) dial() {
 	p := m.pool
-	k := &conn{machine: m, reader: pgwire.NewReader(p.lim.Message, 0)}
+	k := &conn{machine: m, reader: pgwire.NewReader(p.lim.Answer, 0)}
 	m.open++
 	m.opening++
 	p.open++
@@ -61,6 +66,12 @@
 	}
 	k.ended = true
 	k.welcome.Stop()
+	k.stall.Stop()
+	if k.rest != nil {
+		k.rest.Stop()
+		k.rest = nil
+		k.machine.resting--
+	}
 	if k.sock != nil {
 		k.sock.Close()
 	}
@@ -97,6 +108,7 @@
 		return
 	}
 	if k.ready {
+		m.more()
 		return
 	}
 	// Those who wait with no connection on its way to them could not connect: nothing of them was written.
@@ -104,7 +116,7 @@
 	if k.code == pgwire.TooManyConnections {
 		status = balance.Busy
 	}
-	for len(m.waiting) > m.opening {
+	for len(m.waiting) > m.opening+m.resting {
 		c := m.waiting[0]
 		m.waiting = m.waiting[1:]
 		c.finish(router.Result{Status: status})
@@ -117,18 +129,40 @@
 // Data implements sock.Handler.
 func (k *conn) Data(p []byte) {
 	k.reader.Feed(p)
+	k.stall.Stop()
 	for !k.ended {
 		m, ok, err := k.reader.Next()
 		if err != nil {
-			k.machine.pool.log.Warn("db machine breaks the protocol", "node", k.machine.id, "err", err)
-			k.broken()
+			k.spoilt(err.Error())
 			return
 		}
 		if !ok {
-			return
+			break
 		}
 		k.message(m)
 	}
+	// Guards against lengths that do not fit: the rest of such a message never comes.
+	if !k.ended && (k.reader.Waiting() > 0 || k.call != nil && k.closing()) {
+		lim := &k.machine.pool.lim
+		k.stall = k.machine.pool.loop.After(lim.Stall, func() { k.spoilt("it stops within an answer") })
+	}
+}
+
+// closing says whether only ReadyForQuery is missing.
+func (k *conn) closing() bool { return k.code != "" || k.answer.Shape.Tag != "" }
+
+// spoilt gives the connection up on bytes that are not an answer. What they claimed is not believed, and the attempt
+// may have run.
+func (k *conn) spoilt(why string) {
+	k.machine.pool.log.Warn("db machine breaks the protocol", "node", k.machine.id, "why", why)
+	c := k.call
+	if c == nil {
+		k.broken()
+		return
+	}
+	k.call, c.conn = nil, nil
+	k.end()
+	c.finish(router.Result{Status: balance.Error})
 }
 
 func (k *conn) message(m pgwire.Message) {
@@ -172,8 +206,10 @@
 		k.call, c.conn = nil, nil
 		if len(m.Body) != 1 || m.Body[0] != 'I' || k.reader.Waiting() > 0 {
 			k.end() // an open transaction or bytes that belong to no request: not to be used again
+		} else if k.bad {
+			k.end()
 		} else {
-			k.free()
+			k.pause()
 		}
 		c.finish(r)
 		return
@@ -181,8 +217,11 @@
 		k.failed(m)
 	}
 	if len(k.answer.Messages)+len(m.Body) > k.machine.pool.lim.Answer {
-		k.code = pgwire.TooLarge
-		k.broken()
+		k.spoilt("its answer is too long")
+		return
+	}
+	if err := k.answer.Shape.Add(m); err != nil {
+		k.spoilt(fmt.Sprintf("%c: %v", m.Type, err))
 		return
 	}
 	k.answer.Messages = pgwire.Append(k.answer.Messages, m.Type, m.Body)
@@ -218,8 +257,11 @@
 func (k *conn) result() router.Result {
 	r := router.Result{Role: k.role, Position: k.pos}
 	switch {
-	case k.code == "" && k.call.job.Whole(k.answer.Types):
+	case k.code == "" && k.call.job.Whole(k.answer):
 		r.Status, r.Answer = balance.Done, k.answer
+	case k.code == "", bytes.ContainsAny(k.answer.Types, "DC"):
+		k.bad = true // what a spoilt answer claims is not believed
+		return router.Result{Status: balance.Error}
 	case k.code == pgwire.TooManyConnections:
 		r.Status = balance.Busy
 	case k.code == pgwire.ReadOnly, k.code == pgwire.SnapshotTooOld:
@@ -233,6 +275,33 @@
 	return r
 }
 
+// pause lets the connection rest behind an answer. Guards the next request against bytes that belong to the answer
+// before it and come in a later segment: whatever comes now closes the connection.
+func (k *conn) pause() {
+	m := k.machine
+	m.resting++
+	k.rest = m.pool.loop.After(m.pool.lim.Rest, func() {
+		k.rest = nil
+		m.resting--
+		if k.clean() {
+			k.free()
+			return
+		}
+		k.end()
+		m.more()
+	})
+}
+
+// clean says that nothing has come behind the last answer, not even a part of a message or the connection's end.
+func (k *conn) clean() bool { return k.reader.Waiting() == 0 && k.sock.Quiet() }
+
+// more opens a connection if some wait with none on its way to them.
+func (m *machine) more() {
+	if len(m.waiting) > m.opening+m.resting && m.pool.room(m) {
+		m.dial()
+	}
+}
+
 // free hands the connection to whoever waits, or keeps it.
 func (k *conn) free() {
 	m, p := k.machine, k.machine.pool
@@ -266,7 +335,7 @@
 		p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
 		return false
 	}
-	k.answer, k.code, k.role, k.pos = &Answer{}, "", balance.RoleUnknown, 0
+	k.answer, k.code, k.role, k.pos = &Answer{Shape: pgwire.NewShape()}, "", balance.RoleUnknown, 0
 	if err := k.sock.Write(c.job.Messages(c.until - now)); err != nil {
 		// Nothing was written whole, so the call may go out on another connection.
 		k.end()
--- a/internal/servers/probe.go
+++ b/internal/servers/probe.go
@@ -15,9 +15,10 @@
 
 func (probe) Messages(time.Duration) []byte { return pgwire.AppendQuery(nil, "SHOW stats") }
 
-func (probe) Whole(types []byte) bool { return string(types) == "TDC" }
+func (probe) Whole(a *Answer) bool { return string(a.Types) == "TDC" && a.Shape.Columns == 1 }
 
-// report reads role and position from a report such as x0=1767225600.123,x1=0,util=0.61.
+// report reads role and position from a report such as x0=1767225600.123,x1=0,util=0.61. Of one that can't be read to
+// its end nothing is believed.
 func report(a *Answer) (role balance.Role, pos time.Duration) {
 	r := pgwire.NewReader(len(a.Messages)+5, 0)
 	r.Feed(a.Messages)
@@ -40,16 +41,20 @@
 				name, figure, _ := strings.Cut(part, "=")
 				v, err := strconv.ParseFloat(figure, 64)
 				if err != nil || math.IsNaN(v) || v < 0 || v > 1e10 {
-					continue
+					return balance.RoleUnknown, 0
 				}
 				switch name {
 				case "x0":
 					// The report is exact to the millisecond; a float64 of this size is off by far less.
 					pos = time.Duration(math.Floor(v*1e3+1e-3)) * time.Millisecond
 				case "x1":
-					role = balance.RoleReplica
-					if v == 1 {
+					switch v {
+					case 0:
+						role = balance.RoleReplica
+					case 1:
 						role = balance.RolePrimary
+					default:
+						return balance.RoleUnknown, 0
 					}
 				}
 			}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -18,14 +18,15 @@
 type Job interface {
 	// Messages are the messages to write, up to the one that ends with ReadyForQuery.
 	Messages(left time.Duration) []byte
-	// Whole says whether messages of these types are a complete answer.
-	Whole(types []byte) bool
+	// Whole says whether an answer is complete and one to this job. Each of its messages has its type's form.
+	Whole(a *Answer) bool
 }
 
 // Answer is what came back before ReadyForQuery, as it came, without what concerns the connection only.
 type Answer struct {
 	Messages []byte
 	Types    []byte
+	Shape    pgwire.Shape
 	Code     string // the SQLSTATE of an error that concerns the statement, "" = none
 }
 
@@ -47,6 +48,7 @@
 	state    string
 	open     int
 	opening  int
+	resting  int     // connections that have just carried an answer
 	idle     []*conn // the one used last stands last
 	waiting  []*call // for a connection
 }
@@ -168,7 +170,7 @@
 	}
 	for len(m.idle) > 0 {
 		k := m.idle[len(m.idle)-1]
-		if p.loop.Now()-k.idleAt > p.lim.Idle {
+		if p.loop.Now()-k.idleAt > p.lim.Idle || !k.clean() {
 			k.end()
 			continue
 		}
@@ -177,7 +179,7 @@
 			return
 		}
 	}
-	if !p.room(m) && m.opening == 0 {
+	if !p.room(m) && m.opening+m.resting == 0 {
 		p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
 		return
 	}
@@ -192,9 +194,7 @@
 			m.dial()
 		}
 	})
-	if p.room(m) {
-		m.dial()
-	}
+	m.more()
 }
 
 // call is an attempt or a probe under way. It waits for a connection, then its messages are written, then it
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -1,6 +1,7 @@
 package servers
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -24,7 +25,7 @@
 func (j job) Messages(left time.Duration) []byte {
 	return pgwire.AppendQuery(nil, fmt.Sprintf("/* id=%s,c=job,d=%d,cluster=1 */ INSERT", string(j), left.Milliseconds()))
 }
-func (job) Whole(types []byte) bool { return string(types) == "TDC" }
+func (job) Whole(a *Answer) bool { return string(a.Types) == "TDC" && a.Shape.Columns == 1 }
 
 type rig struct {
 	t    *testing.T
@@ -88,6 +89,7 @@
 		l.Idle = idle
 		r := start(t, l, db.Addr)
 		for i := range 3 {
+			time.Sleep(3 * l.Rest)
 			x := r.try(fmt.Sprint(i), 0)
 			if x.Status != balance.Done || x.Role != balance.RolePrimary || x.Position <= 0 || db.Runs(fmt.Sprint(i)) != 1 {
 				t.Fatalf("%+v", x)
@@ -225,10 +227,82 @@
 		t.Fatalf("%+v", x)
 	}
 	for text, want := range map[string]time.Duration{"x0=1767225600.123,x1=1,util=0.6": 1767225600123 * time.Millisecond,
-		`{"x0": 1767225600.5, "x1": 1}`: 1767225600500 * time.Millisecond, "x1=1": 0, "x0=nan,x0=-5,x1=1": 0} {
+		`{"x0": 1767225600.5, "x1": 1}`: 1767225600500 * time.Millisecond, "x0=nan,x1=1": 0, "x1=1,x0=-5": 0, "x0=1767225600,x1=7": 0} {
 		p := pgwire.Append(nil, 'D', []byte{0, 1, 0, 0, 0, byte(len(text))}, []byte(text))
-		if role, pos := report(&Answer{Messages: p}); pos != want || role != balance.RolePrimary {
+		if role, pos := report(&Answer{Messages: p}); pos != want || (pos == 0) != (role == balance.RoleUnknown) {
 			t.Errorf("%s: %v %v", text, role, pos)
 		}
 	}
 }
+
+// A spoilt answer is an attempt that may have run. Its connection is closed and nothing that it claims is believed.
+func TestSpoiltAnswers(t *testing.T) {
+	column := pgwire.Append(nil, 'T', []byte("\x00\x01data\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"))
+	value := pgwire.Append(nil, 'D', []byte("\x00\x01\x00\x00\x00\x01v"))
+	tag := pgwire.Append(nil, 'C', []byte("SELECT 1\x00"))
+	status := pgwire.AppendPair(nil, "mode", "read-write")
+	join := func(parts ...[]byte) []byte { return bytes.Join(append(parts, pgwire.AppendReady(nil)), nil) }
+	for name, p := range map[string][]byte{
+		"noise":           []byte("\x8f\xff\x13\x37 noise"),
+		"3 GB":            append(status, 'D', 0xC0, 0, 0, 0, 0, 1),
+		"never ends":      append(join(status, column), 'D', 0, 0, 1, 0, 0, 1),
+		"two columns":     join(status, column, pgwire.Append(nil, 'D', []byte("\x00\x02\x00\x00\x00\x01v\x00\x00\x00\x01w")), tag),
+		"value too long":  join(status, column, pgwire.Append(nil, 'D', []byte("\x00\x01\x00\x00\x00\x09v")), tag),
+		"value too short": join(status, column, pgwire.Append(nil, 'D', []byte("\x00\x01\x00\x00\x00\x01vw")), tag),
+		"negative value":  join(status, column, pgwire.Append(nil, 'D', []byte("\x00\x01\xff\xff\xff\x00v")), tag),
+		"format":          join(status, append(column[:len(column)-1:len(column)-1], 7), value, tag),
+		"column":          join(status, pgwire.Append(nil, 'T', []byte("\x00\x01data")), value, tag),
+		"tag":             join(status, column, value, pgwire.Append(nil, 'C', []byte("SELECT 1"))),
+		"tag's words":     join(status, column, value, pgwire.Append(nil, 'C', []byte("\x01\x02\x00"))),
+		"tag's count":     join(status, column, value, pgwire.Append(nil, 'C', []byte("SELECT 2\x00"))),
+		"no tag":          join(status, column, value),
+		"no ready":        bytes.Join([][]byte{status, column, value, tag}, nil),
+		"error's form":    join(status, pgwire.Append(nil, 'E', []byte("C53300\x00"))),
+		"error's code":    join(status, pgwire.Append(nil, 'E', []byte("C53\x00\x00"))),
+		"error too late":  join(status, column, value, tag, pgwire.AppendError(nil, pgwire.Error{Code: "53300"})),
+	} {
+		var dials atomic.Int32
+		db := standin.NewDB(t, true, func(typ byte, id string) (a standin.Act) {
+			if typ == 0 {
+				dials.Add(1)
+			}
+			if id == "spoilt" {
+				a.Spoil = func([]byte) []byte { return p }
+			}
+			return a
+		})
+		l := lim()
+		l.Stall = 30 * time.Millisecond
+		r := start(t, l, db.Addr)
+		if x := r.try("spoilt", 0); x != (router.Result{Status: balance.Error}) {
+			t.Errorf("%s: %+v", name, x)
+		}
+		if x := r.try("next", 0); x.Status != balance.Done || dials.Load() != 2 {
+			t.Errorf("behind %s: %+v, %d connections", name, x, dials.Load())
+		}
+	}
+}
+
+// What comes behind an answer, in whatever segment, must not be taken for the answer to the next request.
+func TestBehindAnAnswer(t *testing.T) {
+	copied := bytes.Join([][]byte{pgwire.Append(nil, 'T', []byte("\x00\x01data\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")),
+		pgwire.Append(nil, 'D', []byte("\x00\x01\x00\x00\x00\x05stray")), pgwire.Append(nil, 'C', []byte("SELECT 1\x00")), pgwire.AppendReady(nil)}, nil)
+	for name, act := range map[string]standin.Act{"later": {Behind: copied},
+		"at once": {Spoil: func(p []byte) []byte { return append(p, copied...) }}, "a part": {Behind: copied[:7]}} {
+		db := standin.NewDB(t, true, func(typ byte, _ string) standin.Act {
+			if typ == 0 {
+				return standin.Act{}
+			}
+			return act
+		})
+		l := lim()
+		l.Rest = 100 * time.Millisecond
+		r := start(t, l, db.Addr)
+		for i := range 4 {
+			x := r.try(fmt.Sprint(i), 0)
+			if x.Status != balance.Done || x.Role != balance.RolePrimary || bytes.Contains(x.Answer.(*Answer).Messages, []byte("stray")) {
+				t.Fatalf("%s: %+v", name, x)
+			}
+		}
+	}
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -10,6 +10,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -157,6 +158,20 @@
 // Flushed says whether the system has taken all that was written. Once the connection is closed it does not change.
 func (c *Conn) Flushed() bool { return c.sent.Load() == c.queued }
 
+// Quiet says that nothing has come which the handler was not told, not even the end of the connection. It looks at the
+// socket itself: the poller may be behind.
+func (c *Conn) Quiet() bool {
+	c.mu.Lock()
+	waiting := len(c.in) > 0
+	c.mu.Unlock()
+	if c.closed || waiting {
+		return false
+	}
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(c.nb.Hash(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN
+}
+
 // Unsent is the number of bytes handed to Write that the system has not taken yet.
 func (c *Conn) Unsent() int { return int(c.queued - c.sent.Load()) }
 
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -184,7 +184,10 @@
 	}
 	defer e.Stop()
 	s := &sink{want: 1 << 40, done: make(chan string, 9)}
-	ln, err := e.Listen("127.0.0.2:0", 64, slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler { return s })
+	ln, err := e.Listen("127.0.0.2:0", 64, slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler {
+		s.done <- "accepted"
+		return s
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -197,11 +200,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	for accepted := false; !accepted; { // the loop has the connection before it is kept busy
-		got := make(chan bool)
-		l.Post(func() { got <- len(ln.places) > 0 })
-		accepted = <-got
-	}
+	wait(t, s.done, "accepted") // the loop has the connection before it is kept busy
 	l.Post(func() { busy <- true; <-free })
 	<-busy
 	c.SetDeadline(time.Now().Add(20 * time.Second))
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -21,6 +21,8 @@
 	Cut    int    // of the answer that is next it sends this many bytes and ends the connection
 	Fatal  bool   // the error is fatal: the connection ends behind it
 	Delay  time.Duration
+	Spoil  func(answer []byte) []byte // changes the answer before it is sent
+	Behind []byte                     // it sends this behind the answer, in a segment of its own
 }
 
 // DB is a db machine.
@@ -141,7 +143,7 @@
 			write := h.Class == "job"
 			if m.Type == 'Q' && sql == "SHOW stats" {
 				v := "x0=" + strconv.FormatFloat(float64(time.Now().UnixMilli())/1000, 'f', 3, 64) + ",x1=" + flag(primary) + ",util=0.5"
-				out = d.ready(row(pgwire.Append(out, 'T', []byte("\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00")), v), primary)
+				out = d.ready(row("SHOW", pgwire.Append(out, 'T', []byte("\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00")), v), primary)
 			} else if code := a.Code; m.Type != 0 && m.Type != 'S' && !failed {
 				if runs := m.Type == 'Q' || m.Type == 'E'; runs && code == "" {
 					switch {
@@ -177,9 +179,16 @@
 					c.Write(out[:min(cut, len(out))])
 					return
 				}
+				if a.Spoil != nil {
+					out = a.Spoil(out)
+				}
 				if _, err := c.Write(out); err != nil {
 					return
 				}
+				if a.Behind != nil {
+					time.Sleep(2 * time.Millisecond)
+					c.Write(a.Behind)
+				}
 				out = nil
 			}
 		}
@@ -207,16 +216,16 @@
 		}
 		return pgwire.Append(out, 'T', columns)
 	case 'Q':
-		return row(pgwire.Append(out, 'T', columns), d.Addr)
+		return row("SELECT 1", pgwire.Append(out, 'T', columns), d.Addr)
 	case 'E':
-		return row(out, d.Addr)
+		return row("SELECT 1", out, d.Addr)
 	}
 	return out
 }
 
-func row(out []byte, value string) []byte {
+func row(tag string, out []byte, value string) []byte {
 	out = pgwire.Append(out, 'D', []byte{0, 1, 0, 0, 0, byte(len(value))}, []byte(value))
-	return pgwire.Append(out, 'C', []byte("SELECT 1\x00"))
+	return pgwire.Append(out, 'C', append([]byte(tag), 0))
 }
 
 func (d *DB) ready(out []byte, primary bool) []byte {
