A broken connection is no outage, and a member is cold again only if it was away twice

Checked: a line for each attempt: 7% of attempts end in a reset, equally on all members; 9,823 reads were refused with no attempt at all. A probe line at each such refusal showed why: nearly every member at a warmth of 0.2 to 0.35 with its credit spent. Ruled out: positions (most members within the bound), limits (3 to 6 with 0 or 1 out), the budget of probes and of repeats (both full). At fault: onOutcome counted three resets in a row as an outage (n.breaks >= deadAfter), and served() then took each member that served again for restarted (n.revived), so that the guard for cold members held a warm fleet at a fifth of its capacity for 18 s. Now only connections that do not come up count towards an outage; what resets is asked by a probe, and a probe whose own connection was reset proves nothing. A member is taken for restarted if it could not be reached once more after it had become suspect, as one that has died is at its trials.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,7 +28,7 @@
 	drift      = 0.002 // the least seen is forgotten at this rate: work and members change
 	firstLimit = 16.0  // attempts out per member, over all instances, before anything is learned
 	errorShare = 0.25  // share of failures beyond the peers' that makes a member sick
-	deadAfter  = 3     // attempts lost in a row that mean an outage without asking
+	deadAfter  = 3     // connections refused in a row that mean an outage without asking
 	leastAll   = 4.0   // what crowding leaves of it at least
 	firstShare = 24.0  // the same where the share of one instance is under one
 	creditMost = 4.0   // requests in a row where the share is under one: arrivals are uneven
@@ -302,7 +302,8 @@
 		if r.cfg.Checks == ChecksNone {
 			n.lag = max(n.lag, inUse)
 		}
-		if n.breaks > 0 {
+		n.away = n.away || n.suspect && e.Status != Busy
+		if n.breaks > 0 && e.Status != Reset {
 			r.unreachable(n)
 		}
 		if n.suspect {
@@ -586,14 +587,16 @@
 	case Error:
 		r.failed(n)
 	case Reset, ConnectFailed:
-		// Danger: a path that breaks some connections is no outage of the member. One that has died breaks
-		// them all; a probe settles it where few were out. Harm: a dead one may get a few more.
+		// Danger: a path that breaks connections, several in a row too, is no outage of the member. One that
+		// has died takes no new ones either; a probe settles it. Harm: a dead one may get a few more.
 		if e.Status == ConnectFailed { // nothing ran: the same again, but not at once
 			n.restAt = r.now + seconds(q.class.lat/2)
+			n.away = n.away || n.suspect
+			n.refusals++
 		}
 		r.failed(n)
 		n.breaks++
-		if n.breaks >= deadAfter {
+		if n.refusals >= deadAfter || !r.cfg.Probes && n.breaks >= deadAfter {
 			r.unreachable(n)
 		} else {
 			r.ask(n, 0)
@@ -643,7 +646,7 @@
 
 func (r *Router) served(q *request, n *node, took time.Duration) {
 	n.errs -= smooth * n.errs
-	n.breaks = 0
+	n.breaks, n.refusals = 0, 0
 	n.work += q.class.work
 	if r.awake != r.now {
 		// The more instances, the fewer answers each sees: they count for more.
@@ -653,7 +656,9 @@
 	q.class.work = min(q.class.lat, q.class.work*(1+drift))
 	if n.suspect {
 		r.log("member %s: serves again", n.id)
-		if n.refused && !r.leads(n) {
+		// Danger: taking each for restarted leaves a warm fleet idle where connections break often. One that
+		// has died is found away more than once: when it falls silent, and at its trials.
+		if n.refused && n.away && !r.leads(n) {
 			n.revived, n.creditAt = r.now, 0 // it may have restarted: cold until the list says otherwise
 		}
 		n.suspect, n.refused = false, false
@@ -812,7 +817,7 @@
 			n.backoff = trialFirst / 2
 		}
 		n.backoff = min(2*n.backoff, trialLast)
-		n.suspect, n.since, n.proven, n.group.doubts = true, r.now, false, true
+		n.suspect, n.since, n.proven, n.away, n.group.doubts = true, r.now, false, false, true
 		n.trialAt = r.now + n.backoff
 		r.log("member %s: suspect, it %s", n.id, why)
 		r.ask(n, 0)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -742,9 +742,40 @@
 		all = append(all, Outcome{ID: id, Node: "a", Status: Reset})
 	}
 	h.sent(h.step(ms, all...))
+	h.step(ms, ProbeResult{Node: "a", Status: ConnectFailed})
 	h.sent(h.step(ms, h.request("write")), "b")
 }
 
+// Connections that break now and then, several in a row too, leave a member what it is: neither an outage nor cold.
+func TestBrokenConnectionsAreNoRestart(t *testing.T) {
+	h := ready(t, base())
+	for range 20 {
+		for range 4 {
+			q := h.request("write")
+			h.sent(h.step(ms, q), "a")
+			h.step(ms, Outcome{ID: q.ID, Node: "a", Status: Reset}, ProbeResult{Node: "a", Status: Reset})
+		}
+		q := h.request("write")
+		h.sent(h.step(ms, q), "a")
+		h.step(ms, Outcome{ID: q.ID, Node: "a", Status: Done, Took: 2 * ms, Finished: true, Role: RolePrimary})
+	}
+	// Nor is one that could not be reached once and is there again.
+	q := h.request("write")
+	h.sent(h.step(ms, q), "a")
+	h.step(ms, Outcome{ID: q.ID, Node: "a", Status: Reset}, ProbeResult{Node: "a", Status: ConnectFailed})
+	n := h.r.nodes["a"]
+	if !n.suspect {
+		t.Fatal("a member that cannot be reached is in doubt")
+	}
+	h.step(trialLast, ProbeResult{Node: "a", Status: Done, Role: RolePrimary, Position: h.now + trialLast})
+	q = h.request("write")
+	h.sent(h.step(ms, q), "a")
+	h.step(ms, Outcome{ID: q.ID, Node: "a", Status: Done, Took: 2 * ms, Finished: true, Role: RolePrimary})
+	if n.suspect || h.r.warmth(n) < 1 {
+		t.Fatalf("suspect %v, warmth %v", n.suspect, h.r.warmth(n))
+	}
+}
+
 // A primary that fails some requests is the only one that takes writes: they must not be held for its trials.
 func TestSickPrimaryStillGetsItsWrites(t *testing.T) {
 	h := ready(t, base())
--- a/balance/state.go
+++ b/balance/state.go
@@ -48,7 +48,8 @@
 	limit            float64 // attempts that may be out
 	slow, least      float64 // moving mean of time taken / aim, and the least of it, forgotten slowly
 	errs             float64 // moving share of failures
-	breaks           int     // connections broken since it last served
+	breaks, refusals int     // connections broken, and not come up, since it last served
+	away             bool    // it could not be reached again after it had become suspect
 	progress         Time    // the last answer
 	suspect, refused bool    // it is silent or cannot be reached; the latter
 	since, trialAt   Time
