A silent connection is no silent member: give its attempt up; ask a doubted primary again

Checked: a probe line at each such refusal: whole groups suspect ('answers nothing') with no attempt out, their primaries for 1 to 5 s, 'probing' false and the last probe as old as the doubt. Ruled out: limits (8 to 21, 0 out), credit (warm), budgets (full), positions (reports 20 to 70 ms old). At fault: watch() took attempts whose connection had fallen silent, one in a hundred, for the member's silence: they stay in n.out up to their deadline, shorten its patience to 1.5 to 6 times 3 ms, and block its trials (len(n.out) > 0); a doubted primary's report is older than the doubt, so n.claimed stayed at or under n.since while n.proven kept it from being asked again, and its writes were held until it was of no use. Now an attempt is lost once its member has answered later ones for twice its patience: it says nothing of the member any more, and a read is taken back and sent elsewhere. Trials count what was sent after the doubt, and a primary is asked until it says something newer.

Both tests fail without the change.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,6 +19,7 @@
 	inUse      = 2 * time.Second        // a group without requests for this long is not probed
 	trialFirst = 250 * time.Millisecond // first wait before a suspect's trial; doubles up to trialLast
 	trialLast  = 2 * time.Second
+	lostAfter  = 2     // times its patience: an attempt is lost if the member has answered later ones
 	heldShare  = 20    // held work is looked at again after this part of the time it has waited
 	relapse    = 10    // a doubt within this many of trialLast after the one before waits twice as long
 	smooth     = 0.1   // weight of a new sample in moving averages: about the last ten count
@@ -340,7 +341,10 @@
 		switch {
 		case n.state != Ready:
 		case !g.asked, look && !n.suspect,
-			n.suspect && r.now >= n.trialAt && !n.proven && g.usedAt > n.probedAt:
+			n.suspect && r.now >= n.trialAt && !n.proven && g.usedAt > n.probedAt,
+			// Danger: a report is older than the doubt it should lift. A primary that said nothing newer
+			// would be kept from its writes for ever.
+			n.suspect && n.proven && n == g.primary && n.claimed <= n.since && len(g.held) > 0:
 			r.ask(n, probeGap)
 		case n == g.primary || n.suspect || n.probing || g.wantedAt != r.now || r.now-n.pos < probeGap:
 		case n.zone == r.cfg.Zone:
@@ -742,7 +746,7 @@
 	}
 	if n.suspect {
 		// Danger: what a silent member takes is lost. One trial at a time, after a probe has come back.
-		if len(n.out) > 0 || r.now < n.trialAt || r.cfg.Probes && !n.proven && r.probes >= 1 && !r.leads(n) {
+		if n.tried() || r.now < n.trialAt || r.cfg.Probes && !n.proven && r.probes >= 1 && !r.leads(n) {
 			return false
 		}
 		if q.class.Effect == Unsafe && n.claimed <= n.since && !n.refused {
@@ -832,11 +836,15 @@
 			continue
 		}
 		kept = append(kept, n)
+		live := r.live(n)
 		wait := patience(n.out...)
-		if at := max(n.progress, n.out[0].at, r.awake) + wait; r.now > at {
-			r.doubt(n, "answers nothing")
-		} else {
-			r.due = min(r.due, at+1)
+		if len(live) > 0 {
+			wait = patience(live...)
+			if at := max(n.progress, live[0].at, r.awake) + wait; r.now > at {
+				r.doubt(n, "answers nothing")
+			} else {
+				r.due = min(r.due, at+1)
+			}
 		}
 		for _, a := range n.out {
 			q := a.req
@@ -846,10 +854,11 @@
 					r.finish(q)
 				}
 			}
-			if a.aborted || !n.suspect || q.over || q.class.Effect != Safe || !r.cfg.Cancel || r.repeats < 1 {
+			if a.aborted || !n.suspect && !a.lost || q.over || q.class.Effect != Safe || !r.cfg.Cancel ||
+				r.repeats < 1 {
 				continue
 			}
-			if at := max(a.at, r.awake) + wait; r.now <= at {
+			if at := max(a.at, r.awake) + wait; r.now <= at && !a.lost {
 				r.due = min(r.due, at+1)
 			} else {
 				a.aborted = true
@@ -864,6 +873,23 @@
 	}
 }
 
+// live are the attempts whose answers still say something of the member. Danger: one whose connection has
+// fallen silent, while the member answers what was sent later, made a busy member look dead. It is given up.
+func (r *Router) live(n *node) []*attempt {
+	var live []*attempt
+	for _, a := range n.out {
+		if at := max(a.at, r.awake) + lostAfter*patience(a); !a.lost && n.progress > a.at && r.now > at {
+			a.lost = true
+		} else if !a.lost {
+			r.due = min(r.due, at+1)
+		}
+		if !a.lost {
+			live = append(live, a)
+		}
+	}
+	return live
+}
+
 // measure counts what warm members do for this instance. Danger: the most of few samples is chance, not
 // capacity, and all instances add theirs up.
 func (r *Router) measure() {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1072,3 +1072,67 @@
 		}
 	}
 }
+
+// A connection that falls silent while its member answers others is given up; it is no sign of a silent member.
+func TestSilentConnectionIsNoSilentMember(t *testing.T) {
+	h := ready(t, base())
+	read, write := h.request("latest"), h.request("write")
+	read.Expires, write.Expires = 2*time.Second, 3*time.Second
+	h.sent(h.step(ms, read, write), "a", "a")
+	cancelled := 0
+	step := func(d time.Duration, e ...Event) {
+		for _, c := range pick[Cancel](h.step(d, e...)) {
+			if c.ID != read.ID {
+				t.Fatalf("%+v: a write must not be taken back", c)
+			}
+			cancelled++
+			h.step(0, Outcome{ID: c.ID, Node: "a", Status: Cancelled, Finished: true})
+		}
+	}
+	for i := range 100 {
+		q := h.request("write")
+		step(10*ms, q)
+		step(5*ms, Outcome{ID: q.ID, Node: "a", Status: Done, Took: 5 * ms, Finished: true, Role: RolePrimary})
+		if h.r.nodes["a"].suspect {
+			t.Fatalf("suspect after %d answers", i)
+		}
+		if i%20 == 19 { // a lull: nothing is out but the silent ones
+			for range 20 {
+				step(10 * ms)
+			}
+			if h.r.nodes["a"].suspect {
+				t.Fatal("suspect in a lull")
+			}
+		}
+	}
+	if cancelled != 1 {
+		t.Fatalf("%d attempts were taken back", cancelled)
+	}
+}
+
+// A primary in doubt is asked until it says something newer than the doubt: a report is older than its answer.
+func TestDoubtedPrimaryIsAskedAgain(t *testing.T) {
+	h := ready(t, base())
+	n := h.r.nodes["a"]
+	q := h.request("write")
+	h.sent(h.step(ms, q), "a")
+	for !n.suspect {
+		h.step(50 * ms)
+	}
+	h.step(ms, Outcome{ID: q.ID, Node: "a", Status: TimedOut, Finished: true})
+	h.step(ms, ProbeResult{Node: "a", Status: Done, Role: RolePrimary, Position: n.since - 10*ms})
+	for range 40 {
+		acts := h.step(50*ms, h.request("write"))
+		if sent := pick[Send](acts); len(sent) > 0 {
+			return
+		}
+		for _, p := range pick[Probe](acts) { // all reports are 60 ms old
+			role := map[bool]Role{true: RolePrimary, false: RoleReplica}[p.Node == "a"]
+			acts := h.step(ms, ProbeResult{Node: p.Node, Status: Done, Role: role, Position: h.now - 60*ms})
+			if sent := pick[Send](acts); len(sent) > 0 {
+				return
+			}
+		}
+	}
+	t.Fatal("no write is tried for two seconds")
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -93,6 +93,12 @@
 	at             Time
 	leg            int
 	ended, aborted bool
+	lost           bool // its connection is silent, the member is not
+}
+
+// tried says whether an attempt is out that was sent in spite of the doubt.
+func (n *node) tried() bool {
+	return slices.ContainsFunc(n.out, func(a *attempt) bool { return a.at > n.since })
 }
 
 type commit struct {
