Let values of several hundred KB through; count statements in hand and unread answers

The total of what clients leave unread and of the statements in hand had no bound but the number of connections times the largest message. Now a message may take a 64th of the memory, 1 MB at most; statements in hand count towards Limits.Buffered, and so do answers that are not read.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -67,9 +67,13 @@
 // sweep closes connections that are overdue, and makes room.
 func (f *Front) sweep() {
 	now := f.loop.Now()
+	unread := 0
 	for c := range f.conns {
 		if why := c.overdue(now); why != "" {
 			c.fatal(pgwire.ProtocolViolation, why)
+		} else if unread += c.unsent; unread > f.lim.Buffered && c.unsent > 0 {
+			// Guards memory: many that read slowly are too much where each alone is not.
+			c.fatal(pgwire.TooLarge, "too much is left unread")
 		}
 	}
 	f.room(now)
@@ -127,7 +131,9 @@
 	ended   bool
 	request string // the core's handle of the request in hand
 	held    int    // its share of front.buffered
-	kept    int    // the same, of what its Speaker keeps between requests
+	kept    int    // the same, of what its Speaker keeps between requests and of the request in hand
+	size    int    // bytes of the newest message
+	taken   int    // bytes of the request in hand
 	cameAt  time.Duration
 	openAt  time.Duration // when it was accepted
 	lastAt  time.Duration // when a message was whole or an answer was written last
@@ -238,7 +244,7 @@
 		if !ok {
 			return
 		}
-		c.partAt, c.lastAt = 0, c.front.loop.Now()
+		c.partAt, c.lastAt, c.size = 0, c.front.loop.Now(), len(m.Body)
 		c.asked, c.faulty = c.started, false
 		if !c.started {
 			err = c.startup(m.Body)
@@ -259,6 +265,7 @@
 }
 
 func (c *Conn) fatal(code, text string) {
+	c.front.log.Debug("client turned away", "code", code, "why", text, "asked", c.asked)
 	c.Write(pgwire.AppendError(nil, pgwire.Error{Fatal: true, Code: code, Message: text}))
 	c.End()
 }
@@ -297,16 +304,27 @@
 // Take hands a request to the core; until Done no further message is read. An error says that it is unfit, and that
 // nothing was taken.
 func (c *Conn) Take(q router.Request, to router.Client) (err error) {
-	c.request, err = c.front.core.Take(q, to)
+	if !c.Hold(c.size) {
+		return errRoom
+	}
+	if c.request, err = c.front.core.Take(q, to); err != nil {
+		c.Release(c.size)
+	} else {
+		c.taken = c.size
+	}
 	return err
 }
 
+var errRoom = errors.New("no room to keep the statement")
+
 // Fault notes that what the client has sent is unfit: it is among the first to go when room is needed.
 func (c *Conn) Fault() { c.faulty = true }
 
 // Done ends the request in hand. next, if any, is called before what was sent behind the request is read.
 func (c *Conn) Done(next func() error) {
 	c.request = ""
+	c.Release(c.taken)
+	c.taken = 0
 	c.cameAt = c.front.loop.Now() // the time spent behind an earlier answer does not count
 	c.lastAt = c.cameAt
 	if next != nil && !c.ended {
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 // core answers requests by their class, in the loop.
 type core struct {
 	loop  *loop.Loop
-	taken int
+	taken atomic.Int32
 	left  chan string
 }
 
@@ -30,7 +31,7 @@
 	if q.Class == "odd" {
 		return "", router.ErrClass
 	}
-	k.taken++
+	k.taken.Add(1)
 	k.loop.Post(func() {
 		switch q.Class {
 		case "served":
@@ -47,6 +48,8 @@
 	return q.Label, nil
 }
 
+func (k *core) len() int { return int(k.taken.Load()) }
+
 func (k *core) Leave(id string) { k.left <- id }
 
 func start(t *testing.T) (f *Front, k *core, l *loop.Loop, addr string) {
@@ -243,6 +246,35 @@
 	}
 }
 
+// What clients have in hand is counted in bytes, too, and given back.
+func TestBytesInHand(t *testing.T) {
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	lim.Buffered = 100_000
+	_, k, _, addr := startWith(t, lim)
+	large := func(class string) []byte {
+		return pgwire.AppendQuery(nil, sql(class)+strings.Repeat(" ", 60_000))
+	}
+	held, c := standin.Dial(t, addr), standin.Dial(t, addr)
+	c.Send(large("served"))
+	if a := c.Until('Z'); a.Types != "TDCZ" {
+		t.Fatalf("%+v", a)
+	}
+	held.Send(append(large("held"), pgwire.AppendQuery(nil, sql("served"))...))
+	for k.len() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Send(large("served"))
+	if a := c.Until('Z'); a.Code != pgwire.BadStatement {
+		t.Fatalf("%+v", a)
+	}
+	held.Close()
+	<-k.left
+	c.Send(large("served"))
+	if a := c.Until('Z'); a.Types != "TDCZ" {
+		t.Fatalf("%+v", a)
+	}
+}
+
 // Whoever does not go on is told so and closed, however it has begun.
 func TestOverdue(t *testing.T) {
 	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -12,7 +12,7 @@
 	Message  int // bytes of any other message
 	Answer   int // bytes of an answer of a db machine
 	Inbox    int // bytes of one connection that have come and are not looked at yet
-	Buffered int // bytes that all clients together may have waiting to be read, or prepared
+	Buffered int // bytes of statements that all clients together may have waiting, prepared or in hand, and of answers
 
 	Clients      int // connections of clients
 	ClientsEasy  int // beyond so many, those that ask for nothing are closed to make room
@@ -60,11 +60,13 @@
 func For(memoryMB, sockets int, connect, idle, longest time.Duration) Limits {
 	// A few descriptors belong to the runtime, pollers, listeners, discovery and syslog.
 	free := sockets - 32
+	// Values of several hundred KB come, in answers and in statements.
+	most := min(1<<20, memoryMB<<20/64)
 	return Limits{
 		Memory: int64(memoryMB) << 20 * 3 / 5, // the rest is for what the collector does not see, and for its being late
 
-		Startup: 10_000, Message: 192 << 10, Answer: 96 << 10, Inbox: 512 << 10, Buffered: memoryMB << 20 / 8,
-		Clients: free * 3 / 5, ClientsEasy: free / 2, Unread: 256 << 10, Connections: free * 2 / 5, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
+		Startup: 10_000, Message: most, Answer: most, Inbox: most + 64<<10, Buffered: memoryMB << 20 / 8,
+		Clients: free * 3 / 5, ClientsEasy: free / 2, Unread: most + 64<<10, Connections: free * 2 / 5, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"log/slog"
@@ -283,6 +284,27 @@
 	}
 }
 
+// A value of several hundred KB is an answer like any other; one beyond the limit is not read to its end.
+func TestLargeAnswers(t *testing.T) {
+	l := lim()
+	for size, want := range map[int]balance.Status{400_000: balance.Done, l.Answer: balance.Error} {
+		value := binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(size))
+		value = append(value, make([]byte, size)...)
+		db := standin.NewDB(t, true, func(typ byte, _ string) (a standin.Act) {
+			if typ == 'Q' {
+				a.Spoil = func(p []byte) []byte {
+					end := bytes.IndexByte(p, 'D')
+					return append(pgwire.Append(p[:end:end], 'D', value), p[bytes.IndexByte(p, 'C'):]...)
+				}
+			}
+			return a
+		})
+		if x := start(t, l, db.Addr).try("a", 0); x.Status != want {
+			t.Errorf("%d bytes: %+v", size, x.Status)
+		}
+	}
+}
+
 // What comes behind an answer, in whatever segment, must not be taken for the answer to the next request.
 func TestBehindAnAnswer(t *testing.T) {
 	copied := bytes.Join([][]byte{pgwire.Append(nil, 'T', []byte("\x00\x01data\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01")),
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -46,7 +46,7 @@
 	e := &Engine{loop: l, nb: nbio.NewEngine(nbio.Config{
 		NPoller:            1,
 		ReadBufferSize:     32 << 10,
-		MaxWriteBufferSize: 1 << 20, // a peer that asks and never reads is closed
+		MaxWriteBufferSize: 4 << 20, // what a peer may leave unread is bounded by its owner
 	})}
 	e.nb.OnData(func(c *nbio.Conn, data []byte) {
 		if k, ok := c.Session().(*Conn); ok {
