A pause under 50 ms is no member's silence, however short its requests are

Checked: requests take 3 to 5 ms there, so patience() came to 10 to 20 ms, less than a pause that a router with a part of a core has by itself; most doubts ended in the step that raised them, the others kept a primary's writes waiting for 250 ms to 2 s of trials. At fault: patience() had no least value, while Step takes pauses of its own for such only from 50 ms. Now both use one constant.

Where requests take longer nothing changes: patience was above 50 ms there.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,6 +17,7 @@
 	beat       = 10 * time.Millisecond  // how often held work and silent members are looked at: below any aim
 	probeGap   = 100 * time.Millisecond // reports are rarely refreshed faster
 	inUse      = 2 * time.Second        // a group without requests for this long is not probed
+	stall      = 5 * beat               // a pause of this instance or of a member that is told from silence
 	trialFirst = 250 * time.Millisecond // first wait before a suspect's trial; doubles up to trialLast
 	trialLast  = 2 * time.Second
 	lostAfter  = 2     // times its patience: an attempt is lost if the member has answered later ones
@@ -76,7 +77,7 @@
 // sent.
 func (r *Router) Step(now Time, events []Event) []Action {
 	// Danger: time in which this instance did not run is no member's silence nor slowness.
-	if now-5*beat > r.wakeAt {
+	if now-stall > r.wakeAt {
 		r.awake = now
 	}
 	r.now, r.acts, r.due = now, nil, never
@@ -811,7 +812,7 @@
 	for _, a := range out {
 		lat = max(lat, a.req.class.lat, a.node.slow*a.req.class.Aim.Seconds())
 	}
-	return seconds(lat * (1.5 + 5/float64(len(out))))
+	return max(stall, seconds(lat*(1.5+5/float64(len(out)))))
 }
 
 func (r *Router) doubt(n *node, why string) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1110,6 +1110,29 @@
 	}
 }
 
+// Where requests take a few milliseconds a pause of twenty is not silence: the scheduler alone may make it.
+func TestShortPauseIsNoSilence(t *testing.T) {
+	h := ready(t, base())
+	for range 200 { // answers take 2 ms
+		q := h.request("write")
+		h.sent(h.step(ms, q), "a")
+		h.step(2*ms, Outcome{ID: q.ID, Node: "a", Status: Done, Took: 2 * ms, Finished: true, Role: RolePrimary})
+	}
+	for range 4 {
+		h.sent(h.step(ms, h.request("write")), "a")
+	}
+	h.step(20 * ms)
+	if h.r.nodes["a"].suspect {
+		t.Fatal("suspect after 20 ms")
+	}
+	h.step(30 * ms)
+	h.step(20 * ms)
+	h.step(20 * ms)
+	if !h.r.nodes["a"].suspect {
+		t.Fatal("its silence is not seen")
+	}
+}
+
 // A primary in doubt is asked until it says something newer than the doubt: a report is older than its answer.
 func TestDoubtedPrimaryIsAskedAgain(t *testing.T) {
 	h := ready(t, base())
