Give up whatever was never sent at half of its time, waits for connections included

Checked: by class and tries in the log of refusals: submit-job with no attempt, held for a primary up to its deadline; and reads whose only attempt was a connection that did not come up. Ruled out: reads held by the module, which end in time. At fault: useless() ended early for safe classes only; Send.By said nothing of the client's time and servers.start waited for a connection for the whole connect timeout, whatever By said. Now half() binds all classes until something was written, Send carries it, and a call that waits for a connection ends as Skipped at By.

--- a/balance/api.go
+++ b/balance/api.go
@@ -218,7 +218,7 @@
 type Send struct {
 	ID   string
 	Node string
-	By   Time // written later than this, the data may be older than the class allows; 0 = no such limit
+	By   Time // not to be written later than this: the data may be too old, or the client gone; 0 = no such limit
 }
 
 // Refuse is a final answer: nothing ran and a retry does no harm.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -462,14 +462,16 @@
 		end = min(end, q.aimAt)
 	}
 	end -= seconds(q.class.lat / 2)
-	if !q.written && q.class.Effect == Safe {
-		// Danger: what is held and never sent keeps its client from asking elsewhere. The last moment in
-		// which that costs nothing is half of the client's time.
-		end = min(end, q.at+(q.dieAt-q.at)/2-2*beat)
+	if !q.written {
+		end = min(end, q.half()-beat)
 	}
 	return end
 }
 
+// half is the last moment in which giving up what was never sent costs nothing: half of the client's time.
+// Danger: what is held and never sent keeps its client from asking again, of the next primary or elsewhere.
+func (q *request) half() Time { return q.at + (q.dieAt-q.at)/2 - beat }
+
 func (r *Router) dispatch(g *group) {
 	if len(g.held) == 0 {
 		return
@@ -530,6 +532,9 @@
 		// Danger: a connection that has to be opened first delays the send, and the bound counts from there.
 		by = n.pos + q.class.Bound
 	}
+	if !q.written && (by == 0 || q.half() < by) {
+		by = q.half() // waiting for a connection is waiting all the same
+	}
 	r.do(Send{ID: q.id, Node: n.id, By: by})
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -345,7 +345,7 @@
 	for h.now < 102*time.Second && len(pick[Refuse](acts)) == 0 {
 		acts = h.step(10 * ms)
 	}
-	if at := h.now - 100*time.Second; at > time.Second || at < 500*ms {
+	if at := h.now - 100*time.Second; at > 500*ms || at < 450*ms {
 		t.Fatalf("refused after %v, the client waits 1 s", at)
 	}
 	if pick[Refuse](acts)[0].RetryAfter == 0 {
@@ -353,6 +353,18 @@
 	}
 }
 
+// Nor does waiting for a connection go beyond half of the client's time.
+func TestSendIsOnlyGoodForHalfOfTheTime(t *testing.T) {
+	h := ready(t, base())
+	for _, class := range []string{"write", "any", "latest"} {
+		at := h.now + ms
+		s := h.sent(h.step(ms, h.request(class)), "abc")[0]
+		if s.By < at+450*ms || s.By > at+500*ms {
+			t.Errorf("%s: by %v", class, s.By-at)
+		}
+	}
+}
+
 func TestWritesDoNotPileUpOnASilentPrimary(t *testing.T) {
 	h := ready(t, base())
 	sends := 0
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -184,9 +184,13 @@
 		return
 	}
 	m.waiting = append(m.waiting, c)
-	c.connect = p.loop.After(p.lim.Connect, func() {
+	within, status := p.lim.Connect, balance.ConnectFailed
+	if left := c.by - p.loop.Now(); c.by > 0 && left < within {
+		within, status = left, balance.Skipped // it may not be written any more then
+	}
+	c.connect = p.loop.After(within, func() {
 		m.drop(c)
-		c.finish(router.Result{Status: balance.ConnectFailed})
+		c.finish(router.Result{Status: status})
 	})
 	// Guards against a lost SYN: the system would send the next one only after a second.
 	c.redial = p.loop.After(p.lim.Redial, func() {
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -168,6 +168,13 @@
 	if x := r.try("a", 20*time.Millisecond); x.Status != balance.Skipped || db.Runs("a") != 0 {
 		t.Fatalf("%+v", x)
 	}
+	// Nor is a connection waited for beyond that.
+	silent := standin.NewDB(t, true, func(typ byte, _ string) standin.Act { return standin.Act{Silent: true} })
+	l := lim()
+	l.Connect = 20 * time.Second
+	if x := start(t, l, silent.Addr).try("a", 20*time.Millisecond); x.Status != balance.Skipped {
+		t.Fatalf("%+v", x)
+	}
 	if x := r.try("b", -time.Millisecond); x.Status != balance.Skipped || db.Runs("b") != 0 {
 		t.Fatalf("%+v", x)
 	}
