Forget members that are gone, empty groups and old commits; refuse groups no list names

Checked: the test replaces 400 machines under new ids and makes up 400 groups: without the change all of them stay. At fault: entry() and group() only ever added; forget() asked for all members, whatever their state; a report or an answer with a position in the future set a negative lag. Now measure() drops what has been gone for a minute (ten where removal is soft), groups without members or held requests, and commits that all ready members have; a request for a group that no list names is refused at once; a position ahead of the clock is not believed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -150,6 +150,9 @@
 func (r *Router) entry(e Entry) {
 	n := r.nodes[e.Node]
 	if n == nil {
+		if e.State == Gone {
+			return
+		}
 		g := r.group(e.Group)
 		n = &node{id: e.Node, group: g, state: Ready, readyAt: e.ReadyAt, limit: r.startLimit(),
 			slow: stretch / 2, least: stretch / 2}
@@ -177,6 +180,9 @@
 }
 
 func (r *Router) leave(n *node, s State) {
+	if n.state != Gone {
+		n.goneAt = r.now
+	}
 	n.state = s
 	n.drained = n.drained || s == Draining
 	if n.group.primary == n {
@@ -315,7 +321,7 @@
 		return
 	}
 	n.proven = true
-	if e.Position > 0 {
+	if e.Position > 0 && e.Position <= r.now {
 		if lag := r.now - e.Position; lag < n.lag || r.cfg.Checks == ChecksNone {
 			n.lag, n.lagAt = lag, r.now
 		}
@@ -386,6 +392,11 @@
 	} else if r.reqs[e.ID] != nil {
 		return
 	}
+	if r.groups[e.Group] == nil && len(r.nodes) > 0 {
+		// Danger: a client may make up any group; each would be kept and looked at for ever.
+		r.do(Refuse{ID: e.ID, RetryAfter: min(r.cfg.MaxRetryAfter, c.Aim)})
+		return
+	}
 	g := r.group(e.Group)
 	q := &request{id: e.ID, class: c, group: g, key: e.Key, at: r.now, worth: c.Worth}
 	q.dieAt = r.now + e.Expires
@@ -568,7 +579,7 @@
 		} else if q.class.Need == NeedUpdate || n.claimed >= n.denied {
 			r.learn(n, e.Role, pos, a.at)
 		}
-		if pos > 0 {
+		if pos > 0 && pos <= r.now {
 			n.lag, n.lagAt = r.now-pos, r.now
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1175,3 +1175,36 @@
 	}
 	t.Fatal("no write is tried for two seconds")
 }
+
+// Members that are replaced under new ids, and groups that clients make up, must not add up.
+func TestNothingAddsUp(t *testing.T) {
+	c := base()
+	c.ClientTokens = false
+	h := ready(t, c)
+	for i := range 400 {
+		id := func(i int) string { return fmt.Sprint("new", i) }
+		h.step(time.Second, List{Entries: []Entry{{Node: id(i), Group: 1, State: Ready}, {Node: id(i - 3), Group: 1, State: Gone}}})
+		made := h.request("any")
+		made.Group = int64(1000 + i)
+		if acts := h.step(ms, made); len(pick[Refuse](acts)) != 1 {
+			t.Fatalf("%v", acts)
+		}
+		q := h.request("write")
+		q.Key = int64(i + 1)
+		for _, s := range pick[Send](h.step(ms, q)) {
+			h.step(ms, Outcome{ID: s.ID, Node: s.Node, Status: Done, Took: ms, Finished: true, Role: RolePrimary, Position: h.now})
+		}
+		for _, n := range h.r.groups[1].members {
+			if n.state == Ready {
+				h.step(0, ProbeResult{Node: n.id, Status: Done, Position: h.now})
+			}
+		}
+		h.step(time.Second)
+	}
+	if n := len(h.r.nodes); n > 60 || len(h.r.groups) != 1 || len(h.r.order) != 1 || len(h.r.groups[1].members) != n || len(h.r.reqs) > 9 {
+		t.Errorf("%d members, %d groups, %d requests", n, len(h.r.groups), len(h.r.reqs))
+	}
+	if len(h.r.sessions) > 9 {
+		t.Errorf("%d commits", len(h.r.sessions))
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -53,6 +53,7 @@
 	progress         Time    // the last answer
 	suspect, refused bool    // it is silent or cannot be reached; the latter
 	since, trialAt   Time
+	goneAt           Time // when it left
 	backoff          time.Duration
 	proven, probing  bool    // a probe answered since the last trial; one is out
 	restAt, probedAt Time    // it was full: nothing new before this; the last probe
@@ -142,6 +143,13 @@
 	awake    Time    // it did not run for a while before this
 }
 
+// How long a member that is gone is remembered, and where removal is soft. One that has died is listed as gone until it is
+// back, and what was known of it still holds then.
+const (
+	goneFor  = time.Minute
+	goneSoft = 10 * time.Minute
+)
+
 // never is later than any instant.
 const never = Time(math.MaxInt64)
 
@@ -164,10 +172,32 @@
 	return g
 }
 
-// forget drops the commits that all members of their group are known to have: else they add up for ever.
+// forget drops what would add up for ever: members that are gone, groups without members, and commits that all members
+// of their group are known to have. One that has only left the list may come back where removal is soft.
 func (r *Router) forget() {
+	keep := goneFor
+	if r.cfg.SoftRemoval {
+		keep = goneSoft
+	}
+	for _, g := range r.order {
+		g.members = slices.DeleteFunc(g.members, func(n *node) bool {
+			old := n.state == Gone && len(n.out) == 0 && r.now-n.goneAt >= keep
+			if old {
+				delete(r.nodes, n.id)
+			}
+			return old
+		})
+	}
+	r.order = slices.DeleteFunc(r.order, func(g *group) bool {
+		empty := len(g.members) == 0 && len(g.held) == 0
+		if empty {
+			delete(r.groups, g.id)
+		}
+		return empty
+	})
 	for key, c := range r.sessions {
-		if !slices.ContainsFunc(c.group.members, func(n *node) bool { return n.pos < c.at }) {
+		behind := func(n *node) bool { return n.state == Ready && n.pos < c.at }
+		if !slices.ContainsFunc(c.group.members, behind) {
 			delete(r.sessions, key)
 		}
 	}
