--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -174,8 +174,11 @@
 		return now-c.openAt > lim.ClientSilent && c.partAt == 0
 	}
 	idle := lim.ClientIdle
-	if c.faulty {
+	switch {
+	case c.faulty:
 		idle = lim.ClientSilent
+	case !c.asked: // usual clients ask at once
+		idle = lim.ClientMute
 	}
 	return c.request == "" && c.partAt == 0 && c.speaker.Idle() && now-c.lastAt > idle
 }
