Send reads that any data will do for to the replica that is furthest behind

Checked: a probe line at each such refusal: all replicas of group 0 are 1 to 10 s behind, with 0 to 3 attempts out and room for 3 to 6, while their primary carries all reads it may; reports are under 100 ms old. Ruled out: credit, doubts, limits, budgets, connections (none waited for). The design's own zone and random draw hold where all are fresh, and for bounded reads.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -290,6 +290,9 @@
 	return r.cfg.Checks != ChecksNone && !behind && !slices.Contains(q.missed, n)
 }
 
+// fresh says whether n was recent enough for a bounded read when it last told.
+func (r *Router) fresh(n *node) bool { return r.bound == 0 || n.lag <= r.bound }
+
 func (r *Router) needs(q *request) Time {
 	switch q.class.Need {
 	case NeedBounded:
@@ -718,6 +721,11 @@
 	if len(own) == 0 {
 		own = far
 	}
+	if late := slices.DeleteFunc(slices.Concat(own, far), r.fresh); q.class.Need == NeedAny && len(late) > 0 {
+		// Danger: long reads hold up the log where they run. Spread over all replicas they leave none that is
+		// recent enough for bounded reads. The one that is furthest behind serves them as well.
+		own = []*node{slices.MaxFunc(late, func(a, b *node) int { return cmp.Compare(a.lag, b.lag) })}
+	}
 	if len(own) > 0 && misses < 2 {
 		return own[r.rng.IntN(len(own))]
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1208,3 +1208,19 @@
 		t.Errorf("%d commits", len(h.r.sessions))
 	}
 }
+
+// What any data will do for goes to the replica that is furthest behind, so that the others stay recent enough.
+func TestLongReadsKeepToWhoIsBehind(t *testing.T) {
+	l := three(ListCached)
+	l.Entries[1].Zone = "far"
+	h := newRig(t, base(), l)
+	h.reports("a")
+	q := h.request("any")
+	s := h.sent(h.step(ms, q), "c")[0] // all are fresh: own zone first
+	h.step(50*ms, Outcome{ID: q.ID, Node: s.Node, Status: Done, Took: 50 * ms, Finished: true, Role: RoleReplica, Position: h.now})
+	h.step(0, ProbeResult{Node: "b", Status: Done, Role: RoleReplica, Position: h.now - time.Second})
+	for range 8 {
+		h.sent(h.step(ms, h.request("any")), "b")
+		h.sent(h.step(ms, h.request("bounded")), "c")
+	}
+}
