--- a/internal/extended/extended_test.go
+++ b/internal/extended/extended_test.go
@@ -34,9 +34,13 @@
 }
 
 func start(t *testing.T, dbs ...*standin.DB) *world {
+	t.Helper()
+	return startWith(t, limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second), dbs...)
+}
+
+func startWith(t *testing.T, lim limits.Limits, dbs ...*standin.DB) *world {
 	t.Helper()
 	l := loop.New()
-	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	e, err := sock.New(l, 1024, 1<<20)
 	if err != nil {
@@ -365,3 +369,48 @@
 		t.Fatalf("%+v", a)
 	}
 }
+
+// A unit of work that does not go on ends its connection, however it was begun; what waits in it has run nothing.
+func TestUnitThatStops(t *testing.T) {
+	db := standin.NewDB(t, true, nil)
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	lim.ClientUnit, lim.ClientPart = 100*time.Millisecond, 100*time.Millisecond
+	w := startWith(t, lim, db)
+	job := both("j", "job", 2500)
+	for name, p := range map[string][]byte{"no sync": job[:len(job)-5], "half a message": job[:len(job)-2], "half a parse": job[:20],
+		"only parse": prepare("", sql("j", "job", 2500))} {
+		c := standin.Dial(t, w.addr)
+		c.Send(p)
+		if a := c.Until('Z'); !a.Ended || a.Code != pgwire.ProtocolViolation {
+			t.Errorf("%s: %+v", name, a)
+		}
+	}
+	if db.Runs("j") != 0 {
+		t.Error("it ran")
+	}
+}
+
+// A spoilt answer is no answer here either: a read goes to another, a job has failed, once.
+func TestSpoilt(t *testing.T) {
+	spoilt := 0
+	db := standin.NewDB(t, true, func(typ byte, id string) (a standin.Act) {
+		if spoilt++; typ == 'S' && id == "j" || typ == 'S' && id == "r" && spoilt < 8 {
+			a.Spoil = func(p []byte) []byte {
+				i := strings.IndexByte(string(p), 'D')
+				p[i+4] ^= 1 // the row's length does not fit
+				return p
+			}
+		}
+		return a
+	})
+	w := start(t, db)
+	c := standin.Dial(t, w.addr)
+	c.Send(both("r", "look", 2500))
+	if a := c.Until('Z'); a.Types != "12TDCZ" || a.Value != db.Addr {
+		t.Errorf("%+v", a)
+	}
+	c.Send(both("j", "job", 2500))
+	if a := c.Until('Z'); a.Code != pgwire.UnknownOutcome || db.Runs("j") != 1 {
+		t.Errorf("%+v, %d runs", a, db.Runs("j"))
+	}
+}
