Collect garbage at four times what is in use; a lost attempt is no crowd; ask suspects again

A profile: 18% memmove, half of it growslice for values of several hundred KB, 16% collecting garbage, 32% system calls. A line for each attempt: replicas stay suspect for 1 to 7 s with no trial; writes lost on silent connections end at 3 times their aim and cut their primary's limit. At fault: the collector ran at each few large values, since what is in use is a few MB (GOGC 100); Reader grew its buffer by doublings; a socket was peeked at twice for each request; crowd() counted what a silent connection had lost; probe() asked a suspect replica once, and its position had aged when its trial came. Now GOGC is 400 under the same memory limit, a long message is grown for once, one peek is left out, lost attempts do not count, and a suspect whose position has aged is asked again.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -293,6 +293,9 @@
 // fresh says whether n was recent enough for a bounded read when it last told.
 func (r *Router) fresh(n *node) bool { return r.bound == 0 || n.lag <= r.bound }
 
+// aged says that the position of n is no longer of use for a bounded read, though n may be recent enough.
+func (r *Router) aged(n *node) bool { return r.bound > 0 && r.now-n.pos > r.bound }
+
 func (r *Router) needs(q *request) Time {
 	switch q.class.Need {
 	case NeedBounded:
@@ -356,6 +359,9 @@
 			// would be kept from its writes for ever.
 			n.suspect && n.proven && n == g.primary && n.claimed <= n.since && len(g.held) > 0:
 			r.ask(n, probeGap)
+		case n.suspect && n.proven && r.now >= n.trialAt && r.aged(n) && g.usedAt > n.probedAt:
+			// Danger: its position has aged while it waited for its trial, so no bounded read may try it.
+			r.ask(n, max(probeGap, n.backoff))
 		case n == g.primary || n.suspect || n.probing || g.wantedAt != r.now || r.now-n.pos < probeGap:
 		case n.zone == r.cfg.Zone:
 			stale = append([]*node{n}, stale...)
@@ -629,7 +635,9 @@
 		}
 	case TimedOut:
 		// Danger: when clients give up, the served alone hide the crowding. It counts as the aim or more.
-		r.crowd(n, max(1, e.Took.Seconds()/q.class.Aim.Seconds()))
+		if !a.lost { // a connection that has fallen silent is no crowd
+			r.crowd(n, max(1, e.Took.Seconds()/q.class.Aim.Seconds()))
+		}
 	}
 	if slices.Contains([]Status{Error, TimedOut, Reset, Cancelled}, e.Status) && !q.mayRun {
 		q.mayRun, q.ranAt, q.ranZone = true, a.at, n.zone
@@ -903,7 +911,8 @@
 // live are the attempts whose answers still say something of the member. Danger: one whose connection has
 // fallen silent, while the member answers what was sent later, made a busy member look dead. It is given up.
 func (r *Router) live(n *node) []*attempt {
-	var live []*attempt
+	live := r.scratch[:0] // each step looks at all that is out
+	defer func() { r.scratch = live }()
 	for _, a := range n.out {
 		if at := max(a.at, r.awake) + lostAfter*patience(a); !a.lost && n.progress > a.at && r.now > at {
 			a.lost = true
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -968,6 +968,7 @@
 	for range 3 {
 		h.r.now = h.now
 		h.r.doubt(n, "answers nothing")
+	n.trialAt = h.now + 600*ms // beyond the bound of the read
 		waits = append(waits, n.backoff)
 		n.suspect = false
 		h.now += 3 * time.Second
@@ -978,6 +979,7 @@
 	h.now += time.Minute
 	h.r.now = h.now
 	h.r.doubt(n, "answers nothing")
+	n.trialAt = h.now + 600*ms // beyond the bound of the read
 	if n.backoff != waits[0] {
 		t.Fatalf("%v after a quiet minute, want %v", n.backoff, waits[0])
 	}
@@ -1224,3 +1226,45 @@
 		h.sent(h.step(ms, h.request("bounded")), "c")
 	}
 }
+
+// What a silent connection has lost takes its whole time, which says nothing of how crowded its member is.
+func TestLostAttemptIsNoCrowd(t *testing.T) {
+	h := ready(t, base())
+	n := h.r.nodes["a"]
+	lost := h.request("write")
+	lost.Expires = 3 * time.Second
+	h.sent(h.step(ms, lost), "a")
+	slow := 0.0
+	for h.now < 102*time.Second {
+		q := h.request("write")
+		h.step(10*ms, q)
+		h.step(5*ms, Outcome{ID: q.ID, Node: "a", Status: Done, Took: 5 * ms, Finished: true, Role: RolePrimary})
+		slow = n.slow
+	}
+	h.step(ms, Outcome{ID: lost.ID, Node: "a", Status: TimedOut, Took: 2900 * ms, Finished: true})
+	if n.slow > slow {
+		t.Fatalf("from %.2f to %.2f", slow, n.slow)
+	}
+}
+
+// A suspect replica is asked again when its position has aged, or no bounded read may ever try it.
+func TestSuspectReplicaIsTriedAgain(t *testing.T) {
+	h := ready(t, base())
+	n := h.r.nodes["b"]
+	h.r.doubt(n, "answers nothing")
+	n.trialAt = h.now + 600*ms // beyond the bound of the read
+	h.step(ms, ProbeResult{Node: "b", Status: Done, Role: RoleReplica, Position: h.now})
+	for range 200 {
+		acts := h.step(10*ms, h.request("bounded"))
+		for _, s := range pick[Send](acts) {
+			if s.Node == "b" {
+				return
+			}
+			h.step(0, Outcome{ID: s.ID, Node: s.Node, Status: Done, Took: ms, Finished: true, Role: RoleReplica, Position: h.now})
+		}
+		for _, p := range pick[Probe](acts) {
+			h.step(0, ProbeResult{Node: p.Node, Status: Done, Role: RoleReplica, Position: h.now})
+		}
+	}
+	t.Fatal("no read has tried it for two seconds")
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -122,6 +122,7 @@
 	groups   map[int64]*group
 	order    []*group // sorted by id
 	busy     []*node  // members with attempts out
+	scratch  []*attempt
 	classes  map[string]*class
 	tenants  map[string]*bucket
 	reqs     map[string]*request
--- a/cmd/limeladder/main.go
+++ b/cmd/limeladder/main.go
@@ -45,6 +45,7 @@
 		os.Exit(1)
 	}
 	debug.SetMemoryLimit(d.lim.Memory)
+	debug.SetGCPercent(d.lim.Garbage)
 	go d.heed(signals, os.Getenv)
 	d.run()
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -6,7 +6,8 @@
 
 // Limits bounds what the program holds and how long it waits.
 type Limits struct {
-	Memory int64 // bytes the Go runtime aims to stay under
+	Memory  int64 // bytes the Go runtime aims to stay under
+	Garbage int   // it collects once garbage is this many hundredths of what is in use
 
 	Startup  int // bytes of a startup message
 	Message  int // bytes of any other message
@@ -66,6 +67,10 @@
 	return Limits{
 		Memory: int64(memoryMB) << 20 * 3 / 5, // the rest is for what the collector does not see, and for its being late
 
+		// What is in use is a few MB while answers of several hundred KB pass: at the usual 100 it would collect at
+		// every few of them, on a part of a core.
+		Garbage: 400,
+
 		Startup: 10_000, Message: most, Answer: most, Inbox: most + 64<<10, Buffered: memoryMB << 20 / 8,
 		Clients: free * 7 / 10, ClientsEasy: free * 11 / 20, Unread: most + 64<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,25 @@
+package limits
+
+import (
+	"testing"
+	"time"
+)
+
+// The sizes fit into what the platform grants, the smallest router too.
+func TestBudgets(t *testing.T) {
+	for _, m := range []int{32, 48, 64, 128, 192} {
+		for _, sockets := range []int{256, 384, 1024} {
+			l := For(m, sockets, 250*time.Millisecond, 15*time.Second, 10*time.Second)
+			if n := l.Clients + l.Connections; n > sockets-32 || l.ClientsEasy >= l.Clients || l.Clients < sockets/3+sockets/6 {
+				t.Errorf("%d sockets: %d for clients, %d for db machines", sockets, l.Clients, l.Connections)
+			}
+			memory := int64(m) << 20
+			if l.Memory > memory*2/3 || int64(l.Buffered) > memory/8 || int64(l.Inbox) > memory/16 || l.Unread < l.Answer {
+				t.Errorf("%d MB: %+v", m, l)
+			}
+			if l.Answer < 400<<10 || l.Garbage <= 100 {
+				t.Errorf("%d MB: values of several hundred KB are usual: %+v", m, l)
+			}
+		}
+	}
+}
--- a/internal/pgwire/reader.go
+++ b/internal/pgwire/reader.go
@@ -5,12 +5,14 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Reader cuts a stream of bytes into messages. The zero value is not ready: use NewReader.
 type Reader struct {
 	buf     []byte
 	start   int
+	want    int // bytes of the message that is coming, 0 = not known
 	most    int // bytes of a message
 	startup int // bytes of a startup message, 0 once it has come
 }
@@ -30,6 +32,10 @@
 		r.buf = append(r.buf[:0], r.buf[r.start:]...)
 		r.start = 0
 	}
+	if have := r.Waiting() + len(p); r.want > have && have > r.want/4 {
+		// A long message is copied once, not at each growth. Its length is within bounds, and a fourth has come.
+		r.buf = slices.Grow(r.buf, r.want-r.Waiting())
+	}
 	r.buf = append(r.buf, p...)
 }
 
@@ -62,8 +68,10 @@
 	}
 	end := head + int(n)
 	if len(p) < end {
+		r.want = end
 		return m, false, nil
 	}
+	r.want = 0
 	if head == 1 {
 		m.Type = p[0]
 	}
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -283,7 +283,8 @@
 	k.rest = m.pool.loop.After(m.pool.lim.Rest, func() {
 		k.rest = nil
 		m.resting--
-		if k.clean() {
+		// start looks at the socket of an idle connection; here it counts where one waits for it.
+		if k.reader.Waiting() == 0 && (len(m.waiting) == 0 || k.sock.Quiet()) {
 			k.free()
 			return
 		}
