Close idle clients sooner when hardly a place is left

Checked: a probe of the table: 246 of 246 places idle for under 2 s, none with a request, while one router of two restarts; served in waves of 2 s. Ruled out: silent clients (0 to 58, gone after 100 ms), half messages (none), memory (17 MB). At fault: room() left every connection alone for 2 s, so clients that ask once and stay at more than a hundredth of the table's size each 20 ms fill it for good. Now beyond ClientsTight, a tenth under the table's size, idle ones may go after 100 ms, the oldest first, and none that has sent something (its socket is looked at). PROTOCOL lets a router close between requests; the client asks anew.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -83,13 +83,20 @@
 // room closes those that have asked for nothing for the longest time. Guards the table against clients that ask once
 // and stay, or say nothing: usual ones must find a place. One that has a request, or has just come, is left alone.
 func (f *Front) room(now time.Duration) {
-	over := len(f.conns) - f.lim.ClientsEasy
+	f.shrink(now, f.lim.ClientsEasy, f.lim.ClientIdle)
+	// Guards against more clients that ask once and stay than there are places for the time they may stay: usual ones
+	// would wait for a place until their time is up. A client whose connection is closed between requests asks anew.
+	f.shrink(now, f.lim.ClientsTight, f.lim.ClientTight)
+}
+
+func (f *Front) shrink(now time.Duration, to int, idle time.Duration) {
+	over := len(f.conns) - to
 	if over <= 0 {
 		return
 	}
 	var spare []*Conn
 	for c := range f.conns {
-		if c.spare(now) {
+		if c.spare(now, idle) {
 			spare = append(spare, c)
 		}
 	}
@@ -167,20 +174,20 @@
 	return ""
 }
 
-// spare says whether the connection may be closed to make room for others.
-func (c *Conn) spare(now time.Duration) bool {
+// spare says whether the connection may be closed to make room for others, one with no open request after the given
+// time. What has come and is not read yet is looked for.
+func (c *Conn) spare(now, idle time.Duration) bool {
 	lim := c.front.lim
 	if !c.started {
 		return now-c.openAt > lim.ClientSilent && c.partAt == 0
 	}
-	idle := lim.ClientIdle
 	switch {
 	case c.faulty:
-		idle = lim.ClientSilent
+		idle = min(idle, lim.ClientSilent)
 	case !c.asked: // usual clients ask at once
 		idle = lim.ClientMute
 	}
-	return c.request == "" && c.partAt == 0 && c.speaker.Idle() && now-c.lastAt > idle
+	return c.request == "" && c.partAt == 0 && c.speaker.Idle() && now-c.lastAt > idle && c.sock.Quiet()
 }
 
 // End closes the connection.
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -218,11 +218,18 @@
 // one whose request is in hand is closed for that.
 func TestRoom(t *testing.T) {
 	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
-	lim.Clients, lim.ClientsEasy, lim.ClientIdle = 6, 3, 200*time.Millisecond
+	lim.Clients, lim.ClientsEasy, lim.ClientsTight, lim.ClientIdle = 6, 3, 6, 200*time.Millisecond
+	testRoom(t, lim)
+	// Nor need they wait until an idle one may go by itself: the places are taken much faster than that.
+	lim.ClientsTight, lim.ClientIdle = 5, time.Hour
+	testRoom(t, lim)
+}
+
+func testRoom(t *testing.T, lim limits.Limits) {
 	_, k, _, addr := startWith(t, lim)
 	busy := standin.Dial(t, addr)
 	busy.Send(pgwire.AppendQuery(nil, sql("held")))
-	for range 4 {
+	for range 8 {
 		c := standin.Dial(t, addr)
 		c.Send(pgwire.AppendQuery(nil, sql("served")))
 		if a := c.Until('Z'); a.Types != "TDCZ" {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -16,7 +16,8 @@
 	Buffered int // bytes of statements that all clients together may have waiting, prepared or in hand, and of answers
 
 	Clients      int // connections of clients
-	ClientsEasy  int // beyond so many, those that ask for nothing are closed to make room
+	ClientsEasy  int // beyond so many, those that ask for nothing are closed to make room,
+	ClientsTight int // and beyond so many sooner
 	Unread       int // bytes of answers that one client may leave unread
 	Requests     int // requests in hand
 	Connections  int // connections to db machines, those being opened included
@@ -46,6 +47,7 @@
 	ClientUnit   time.Duration // until a unit of work that has begun goes on
 	ClientUnread time.Duration // until a client has taken something of what it is sent
 	ClientSilent time.Duration // one that has not started, or made a fault last, may be closed to make room after this,
+	ClientTight  time.Duration // one with no open request may be closed after this when hardly a place is left,
 	ClientMute   time.Duration // one that has started and asked for nothing yet after this,
 	ClientIdle   time.Duration // and one with no open request after this
 	ClientSweep  time.Duration // how often clients are looked at
@@ -72,7 +74,7 @@
 		Garbage: 400,
 
 		Startup: 10_000, Message: most, Answer: most, Inbox: most + 64<<10, Buffered: memoryMB << 20 / 8,
-		Clients: free * 7 / 10, ClientsEasy: free * 11 / 20, Unread: most + 64<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
+		Clients: free * 7 / 10, ClientsEasy: free * 11 / 20, ClientsTight: free * 12 / 20, Unread: most + 64<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
@@ -81,7 +83,8 @@
 		// A client that can't be served is owed an error or a close within 3 s of connecting.
 		ClientStart: 1500 * time.Millisecond, ClientFirst: 2100 * time.Millisecond, ClientPart: 1500 * time.Millisecond,
 		ClientUnit: 10 * time.Second, ClientUnread: 5 * time.Second,
-		ClientSilent: 100 * time.Millisecond, ClientMute: 500 * time.Millisecond, ClientIdle: 2 * time.Second, ClientSweep: 50 * time.Millisecond,
+		ClientSilent: 100 * time.Millisecond, ClientTight: 100 * time.Millisecond, ClientMute: 500 * time.Millisecond,
+		ClientIdle: 2 * time.Second, ClientSweep: 50 * time.Millisecond,
 		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, ListFirst: time.Second,
 		DrainAccept: 500 * time.Millisecond, DrainMost: longest + time.Second, Sweep: time.Second, Report: 10 * time.Second,
 	}
