Make room before a third of the descriptors is held: clients have no more to ask with

Ruled out: the listener's places (120 to 200 of 246 in use), refusals of the module (none in those seconds). At fault: ClientsEasy and ClientsTight stood at 11 and 12 twentieths, above what clients can hold, so nothing was closed.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -15,7 +15,9 @@
 	Inbox    int // bytes of one connection that have come and are not looked at yet
 	Buffered int // bytes of statements that all clients together may have waiting, prepared or in hand, and of answers
 
-	Clients      int // connections of clients
+	Clients int // connections of clients
+	// Clients hold a third of the descriptors at most for their requests, and those that ask once and stay hold theirs
+	// too: with a third in use usual ones have none left to ask with, whatever the router has.
 	ClientsEasy  int // beyond so many, those that ask for nothing are closed to make room,
 	ClientsTight int // and beyond so many sooner
 	Unread       int // bytes of answers that one client may leave unread
@@ -74,7 +76,7 @@
 		Garbage: 400,
 
 		Startup: 10_000, Message: most, Answer: most, Inbox: most + 64<<10, Buffered: memoryMB << 20 / 8,
-		Clients: free * 7 / 10, ClientsEasy: free * 11 / 20, ClientsTight: free * 12 / 20, Unread: most + 64<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
+		Clients: free * 7 / 10, ClientsEasy: sockets / 5, ClientsTight: sockets * 3 / 10, Unread: most + 64<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
