--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -76,7 +76,7 @@
 		Garbage: 400,
 
 		Startup: 10_000, Message: most, Answer: most, Inbox: most + 64<<10, Buffered: memoryMB << 20 / 8,
-		Clients: free * 7 / 10, ClientsEasy: sockets / 5, ClientsTight: sockets * 3 / 10, Unread: most + 64<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
+		Clients: free * 7 / 10, ClientsEasy: sockets / 8, ClientsTight: sockets / 5, Unread: most + 64<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
