--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -968,7 +968,7 @@
 	for range 3 {
 		h.r.now = h.now
 		h.r.doubt(n, "answers nothing")
-	n.trialAt = h.now + 600*ms // beyond the bound of the read
+		n.trialAt = h.now + 600*ms // beyond the bound of the read
 		waits = append(waits, n.backoff)
 		n.suspect = false
 		h.now += 3 * time.Second
