Operators' calls: suspend and resume db machines, drain and activate the router

Checked: no code knew the field operator; the only drain was SIGTERM's, which ends the loop. Ruled out: answering the empty query with an error alone, since open connections go on being used until they are closed.

--- a/balance/api.go
+++ b/balance/api.go
@@ -201,6 +201,13 @@
 	Attempt int
 }
 
+// Suspend takes a member out, whatever the list says of it, or lets it back in. It may come again, and for a member that
+// is not listed yet.
+type Suspend struct {
+	Node string
+	Out  bool
+}
+
 // Wake is a Timer that ran out.
 type Wake struct{}
 
@@ -210,6 +217,7 @@
 func (ProbeResult) event() {}
 func (ClientGone) event()  {}
 func (FirstByte) event()   {}
+func (Suspend) event()     {}
 func (Wake) event()        {}
 
 // Action is something the caller has to do, in order; the types below implement it.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,6 +49,7 @@
 	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), nodes: map[string]*node{},
 		groups: map[int64]*group{}, classes: map[string]*class{}, tenants: map[string]*bucket{},
 		reqs: map[string]*request{}, sessions: map[int64]commit{}, repeats: retryMost, probes: probeFirst,
+		barred:   map[string]bool{},
 		trackGap: trialFirst}
 	if err := cfg.check(); err != nil {
 		return nil, err
@@ -91,6 +92,8 @@
 			r.onOutcome(e)
 		case ProbeResult:
 			r.onProbe(e)
+		case Suspend:
+			r.onSuspend(e)
 		case ClientGone:
 			if q := r.reqs[e.ID]; q != nil {
 				r.close(q)
@@ -155,7 +158,7 @@
 		}
 		g := r.group(e.Group)
 		n = &node{id: e.Node, group: g, state: Ready, readyAt: e.ReadyAt, limit: r.startLimit(),
-			slow: stretch / 2, least: stretch / 2}
+			slow: stretch / 2, least: stretch / 2, barred: r.barred[e.Node]}
 		r.nodes[e.Node] = n
 		g.members = append(g.members, n)
 		slices.SortFunc(g.members, func(a, b *node) int { return cmp.Compare(a.id, b.id) })
@@ -183,13 +186,28 @@
 	if n.state != Gone {
 		n.goneAt = r.now
 	}
-	n.state = s
-	n.drained = n.drained || s == Draining
+	n.state, n.drained = s, n.drained || s == Draining
 	if n.group.primary == n {
 		r.soil(n.group, "it leaves")
 	}
 }
 
+// onSuspend bars a member until operators let it back in. Danger: the list goes on calling it ready, or does
+// again once it is back; so the bar stands beside the list's state.
+func (r *Router) onSuspend(e Suspend) {
+	r.barred[e.Node] = e.Out
+	n := r.nodes[e.Node]
+	if n == nil || n.barred == e.Out {
+		return
+	}
+	if n.barred = e.Out; n.barred {
+		r.leave(n, n.state)
+		return
+	}
+	n.renew(r.now, r.startLimit())
+	r.probes, n.group.doubts = max(r.probes, probeFirst), true
+}
+
 func (r *Router) askList() {
 	if r.cfg.Ask && !r.tracked && r.now >= r.trackAt {
 		r.tracked = true
@@ -204,7 +222,7 @@
 // claim notes that n was primary at the given time. Newer evidence wins; older evidence is dropped.
 func (r *Router) claim(n *node, at Time) {
 	g := n.group
-	if at <= n.denied {
+	if at <= n.denied || n.barred {
 		return
 	}
 	// Danger: one that came back and does not know that it was replaced still calls itself primary, from data
@@ -350,9 +368,13 @@
 	}
 	var stale []*node
 	for _, n := range g.members {
-		g.doubts = g.doubts || n.suspect
+		// Danger: without a report no bounded read may try one that is back, nor would anything ask for it.
+		n.eager = n.eager && (n.barred || r.now-n.revived < 2*inUse)
+		g.doubts = g.doubts || n.suspect || n.eager && n.in()
 		switch {
-		case n.state != Ready:
+		case !n.in():
+		case n.eager:
+			r.ask(n, probeGap)
 		case !g.asked, look && !n.suspect,
 			n.suspect && r.now >= n.trialAt && !n.proven && g.usedAt > n.probedAt,
 			// Danger: a report is older than the doubt it should lift. A primary that said nothing newer
@@ -380,7 +402,7 @@
 
 func (r *Router) askable(n *node, gap time.Duration) bool {
 	since := r.now - n.probedAt
-	return r.cfg.Probes && r.probes >= 1 && since >= gap && (!n.probing || since > inUse)
+	return r.cfg.Probes && !n.barred && r.probes >= 1 && since >= gap && (!n.probing || since > inUse)
 }
 
 func (r *Router) ask(n *node, gap time.Duration) {
@@ -534,6 +556,7 @@
 	}
 	q.tries, n.out = append(q.tries, a), append(n.out, a)
 	q.out++
+	n.eager = false
 	r.due = min(r.due, r.now+patience(n.out...)+1)
 	if q.group.state != usable && q.class.Need == NeedUpdate {
 		q.group.trial = a
@@ -718,6 +741,8 @@
 		}
 		if !r.allowed(q, n) {
 			continue
+		} else if n.eager {
+			return n // first of all: operators have asked for it, and its position will age again
 		} else if r.sick(n) && (r.now < n.trialAt || len(n.out) > 0) {
 			sick = append(sick, n)
 		} else if n.zone == r.cfg.Zone {
@@ -742,7 +767,7 @@
 		// A report comes much sooner than the primary's work is done, if what it told last would do.
 		soon := n.probing && r.now-n.probedAt < probeGap/2 || !n.suspect && r.askable(n, probeGap)
 		fits := r.cfg.Checks == ChecksNone && r.now-n.lag >= r.needs(q) && !r.available(q, n)
-		if soon && fits && n != g.primary && n.state == Ready {
+		if soon && fits && n != g.primary && n.in() {
 			return nil
 		}
 	}
@@ -767,7 +792,7 @@
 	switch {
 	case n.group != q.group, q.over, q.out > 0:
 		return false
-	case n.state != Ready && (n.drained || n.state == Draining || !r.cfg.SoftRemoval):
+	case n.barred, n.state != Ready && (n.drained || n.state == Draining || !r.cfg.SoftRemoval):
 		return false // Danger: a member that drains must get nothing new, from the moment that this is known
 	case q.mayRun && q.class.Effect == Unsafe:
 		return false
@@ -932,7 +957,7 @@
 	sum, warm := 0.0, 0.0
 	for _, g := range r.order {
 		for _, n := range g.members {
-			if r.warmth(n) == 1 && n.state == Ready && !n.suspect {
+			if r.warmth(n) == 1 && n.in() && !n.suspect {
 				sum, warm = sum+n.work, warm+1
 			}
 			n.work = 0
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1268,3 +1268,55 @@
 	}
 	t.Fatal("no read has tried it for two seconds")
 }
+
+// What operators take out gets nothing, probes neither, whatever the list says of it; a suspended primary is in doubt. Let
+// back in it is asked and used at once, though it was suspect and its position is old.
+func TestSuspend(t *testing.T) {
+	h := ready(t, base())
+	h.step(0, Suspend{Node: "b", Out: true}, Suspend{Node: "later", Out: true})
+	for range 200 {
+		h.reports("a")
+		for _, l := range []List{three(ListFull), {Entries: []Entry{{Node: "b", Group: 1, State: Ready, ReadyAt: h.now}, {Node: "later", Group: 1, State: Ready}}}} {
+			acts := h.step(10*ms, l, h.request("bounded"), h.request("any"))
+			for _, s := range pick[Send](acts) {
+				if s.Node == "b" || s.Node == "later" {
+					t.Fatalf("sent: %+v", s)
+				}
+				h.step(0, Outcome{ID: s.ID, Node: s.Node, Status: Done, Took: ms, Role: RoleReplica, Finished: true})
+			}
+			for _, p := range pick[Probe](acts) {
+				if p.Node == "b" {
+					t.Fatal("probed")
+				}
+			}
+		}
+	}
+	h.step(0, List{Kind: ListFull, Entries: three(ListFull).Entries[:1]})
+	h.step(2*goneFor, h.request("any")) // b is forgotten by now
+	h.reports("a")
+	if n := h.r.nodes["b"]; n != nil {
+		t.Fatal("not forgotten")
+	}
+	h.step(0, three(ListFull))
+	h.sent(h.step(0, Suspend{Node: "a", Out: true}, h.request("write")), "bc") // its primary is suspended: the round goes on without it
+	h.reports("c")
+	if s := h.step(ms, h.request("any"), h.request("any")); len(pick[Send](s)) == 0 || pick[Send](s)[0].Node != "c" {
+		t.Fatalf("%v", s)
+	}
+	n := h.r.nodes["b"]
+	n.suspect, n.refused, n.trialAt, n.errs = true, true, never, 1
+	h.now += time.Second // its position has aged
+	acts := h.step(0, Suspend{Node: "b"}, h.request("bounded"))
+	if n.suspect || h.r.warmth(n) == 1 || len(pick[Send](acts)) > 0 || len(pick[Probe](acts)) == 0 {
+		t.Fatalf("%+v: %v", n, acts)
+	}
+	for range 300 {
+		acts = h.step(10*ms, h.request("bounded"), ProbeResult{Node: "b", Status: Done, Role: RoleReplica, Position: h.now})
+		for _, s := range pick[Send](acts) {
+			if s.Node == "b" {
+				return
+			}
+		}
+	}
+	t.Fatal("never used again")
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -39,6 +39,7 @@
 	group            *group
 	state            State
 	drained, leader  bool // it was listed as draining; the list calls it primary
+	barred, eager    bool // operators have taken it out; they have let it back in and it was not used since
 	readyAt, revived Time // when it started, or answered again after it could not be reached
 	pos              Time // it has applied all commits up to here
 	lag              time.Duration
@@ -97,6 +98,20 @@
 	lost           bool // its connection is silent, the member is not
 }
 
+// renew forgets what was held against a member that operators let back in. It was restarted: it is cold, and what it still
+// had before will not be answered.
+func (n *node) renew(now Time, limit float64) {
+	n.revived, n.creditAt, n.limit, n.restAt, n.trialAt = now, 0, limit, 0, 0
+	n.suspect, n.refused, n.away, n.probing, n.eager = false, false, false, false, true
+	n.errs, n.breaks, n.refusals, n.slow, n.least = 0, 0, 0, stretch/2, stretch/2
+	for _, a := range n.out {
+		a.lost = true
+	}
+}
+
+// in says whether it may get anything at all.
+func (n *node) in() bool { return n.state == Ready && !n.barred }
+
 // tried says whether an attempt is out whose answer would say something of the member.
 func (n *node) tried() bool {
 	return slices.ContainsFunc(n.out, func(a *attempt) bool { return !a.lost })
@@ -138,10 +153,11 @@
 	tracked  bool
 	trackAt  Time
 	trackGap time.Duration
-	wakeAt   Time    // the next timer
-	due      Time    // when something is due next
-	best     float64 // the highest rank seen, forgotten slowly
-	awake    Time    // it did not run for a while before this
+	wakeAt   Time            // the next timer
+	due      Time            // when something is due next
+	best     float64         // the highest rank seen, forgotten slowly
+	awake    Time            // it did not run for a while before this
+	barred   map[string]bool // the members that operators have taken out, listed or not
 }
 
 // How long a member that is gone is remembered, and where removal is soft. One that has died is listed as gone until it is
--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"strconv"
 	"syscall"
@@ -16,6 +17,7 @@
 	"limeladder/internal/limits"
 	"limeladder/internal/list"
 	"limeladder/internal/loop"
+	"limeladder/internal/operator"
 	"limeladder/internal/router"
 	"limeladder/internal/servers"
 	"limeladder/internal/sock"
@@ -36,9 +38,11 @@
 	draining bool
 	name     string
 	events   router.Events
-	syslog   *syslog.Sender // nil = off
-	store    *store.Store   // nil = off
-	told     bool           // discovery has answered
+	syslog   *syslog.Sender  // nil = off
+	store    *store.Store    // nil = off
+	told     bool            // discovery has answered
+	operator *sock.Listener  // nil = off
+	known    map[string]bool // every db machine that discovery has named
 }
 
 // front is one address where clients connect.
@@ -57,7 +61,7 @@
 	for _, c := range cfg.Balance.Classes {
 		longest = max(longest, c.GiveUp)
 	}
-	d := &daemon{log: log, loop: loop.New(), name: cfg.Name, events: noEvents{}}
+	d := &daemon{log: log, loop: loop.New(), name: cfg.Name, events: noEvents{}, known: map[string]bool{}}
 	d.lim = limits.For(cfg.Limits.MemoryMB, cfg.Limits.Sockets, time.Duration(cfg.Settings.Limits.ConnectTimeoutNs),
 		time.Duration(cfg.Settings.Limits.ConnIdleNs), longest)
 	if dep.Extended.Listen != "" {
@@ -84,6 +88,14 @@
 			return nil, err
 		}
 	}
+	if cfg.Operator != "" {
+		ln, err := net.Listen("tcp", cfg.Operator)
+		if err != nil {
+			return nil, fmt.Errorf("operator: %w", err)
+		}
+		d.operator = d.engine.Serve(ln, d.lim.Operators, d.loop.Urgent, log, operator.New(d.loop, d.lim, log, d).Accept)
+		log.Info("listening", "front", "operator", "addr", ln.Addr().String())
+	}
 	known := config.List{}
 	if cfg.Known != nil {
 		known = *cfg.Known
@@ -207,6 +219,7 @@
 	d.pool.List(l)
 	b := balance.List{Kind: kind}
 	for _, e := range l.Servers {
+		d.known[e.ID] = true
 		if entry, err := e.Balance(); err == nil {
 			b.Entries = append(b.Entries, entry)
 		}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -39,7 +39,8 @@
 	core     Core
 	speak    func(*Conn) Speaker
 	ready    bool
-	draining bool
+	draining bool // the program is about to end
+	empty    bool // operators have drained the router
 	conns    map[*Conn]struct{}
 	buffered int // bytes of all clients that wait to be read or are kept for them
 }
@@ -76,6 +77,11 @@
 			c.fatal(pgwire.TooLarge, "too much is left unread")
 		}
 	}
+	for c := range f.conns {
+		if f.empty && now-c.openAt > f.lim.EmptyIdle && c.spare(now, f.lim.EmptyIdle) {
+			c.End()
+		}
+	}
 	f.room(now)
 	f.loop.After(f.lim.ClientSweep, f.sweep)
 }
@@ -106,6 +112,14 @@
 	}
 }
 
+// Empty drains the front, or ends that: the platform is told to send no more clients, newcomers are served what they
+// bring, and each connection is closed right behind an answer, or when it has been idle for a while. A close at any other
+// moment may cross a request.
+func (f *Front) Empty(on bool) { f.empty = on }
+
+// Takes says whether the platform may send clients.
+func (f *Front) Takes() bool { return f.ready && !f.empty && !f.draining }
+
 // Drain closes each connection as soon as it is between requests. New ones serve what they bring.
 func (f *Front) Drain() {
 	f.draining = true
@@ -282,11 +296,27 @@
 
 // rest closes a connection between requests when the program is about to end.
 func (c *Conn) rest() {
-	if c.front.draining && c.started && !c.ended && c.request == "" && c.reader.Waiting() == 0 && c.speaker.Idle() {
+	if (c.front.draining || c.front.empty) && c.started && !c.ended && c.request == "" && c.reader.Waiting() == 0 && c.speaker.Idle() {
 		c.End()
 	}
 }
 
+// Blank answers an empty query, by which the platform asks whether it may send clients.
+func (c *Conn) Blank() {
+	f := c.front
+	if f.ready && !f.empty {
+		c.Write(pgwire.AppendReady(pgwire.Append(nil, 'I')))
+		return
+	}
+	why := "starting up"
+	if f.ready {
+		why = "drained"
+	}
+	c.Write(pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error{Code: pgwire.CannotConnectNow, Message: why,
+		After: 100 * time.Millisecond})))
+	c.rest()
+}
+
 // CameAt is when the message in hand had come.
 func (c *Conn) CameAt() time.Duration { return c.cameAt }
 
--- a/internal/clients/simple.go
+++ b/internal/clients/simple.go
@@ -53,12 +53,7 @@
 func (c *simple) query(sql string) {
 	job, blank := Simple(sql)
 	if blank {
-		if c.front.ready {
-			c.Write(pgwire.AppendReady(pgwire.Append(nil, 'I')))
-		} else {
-			c.Write(pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error{Code: pgwire.CannotConnectNow,
-				Message: "starting up", After: 100 * time.Millisecond})))
-		}
+		c.Blank()
 		return
 	}
 	h, err := job.Head()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -59,6 +59,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Operator  string `json:"operator"` // where operators call, "" = nowhere
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -76,7 +77,7 @@
 // sockets; the simulator's wire knows no such price, so the settings have no field for it.
 const heldBack = 0.3
 
-// Load reads the file that EDGE_CONFIG names; EDGE_NAME and EDGE_LISTEN override it, EDGE_DISCOVERY stands in where it
+// Load reads the file that EDGE_CONFIG names; EDGE_NAME, EDGE_LISTEN and EDGE_OPERATOR override it, EDGE_DISCOVERY stands in where it
 // names no discovery.
 func Load(getenv func(string) string) (*Config, error) {
 	path := getenv("EDGE_CONFIG")
@@ -100,7 +101,8 @@
 		}
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen} {
+	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen,
+		"EDGE_OPERATOR": &c.Operator} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
@@ -115,6 +117,11 @@
 	if err := address(c.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	if c.Operator != "" {
+		if err := address(c.Operator); err != nil {
+			return nil, fmt.Errorf("operator: %w", err)
+		}
+	}
 	var err error
 	if c.SeedValue, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", c.Seed)
--- a/internal/extended/extended.go
+++ b/internal/extended/extended.go
@@ -326,8 +326,11 @@
 	}
 	job, blank := clients.Simple(sql)
 	if blank {
-		s.out = pgwire.Append(s.out, 'I')
-		s.sync()
+		for name := range s.portals { // it ends the unit of work, like any simple query
+			s.drop(name)
+		}
+		s.flush()
+		s.conn.Blank()
 		return nil
 	}
 	h, err := job.Head()
--- a/internal/extended/extended_test.go
+++ b/internal/extended/extended_test.go
@@ -31,6 +31,8 @@
 	loop *loop.Loop
 	core *router.Router
 	pool *servers.Pool
+
+	front *clients.Front
 }
 
 func start(t *testing.T, dbs ...*standin.DB) *world {
@@ -56,7 +58,9 @@
 	}
 	w := &world{loop: l, core: core, pool: servers.New(l, e, lim, log)}
 	core.Connect(w.pool, noEvents{})
-	ln, err := e.Listen("127.0.0.1:0", lim.Clients, log, clients.New(l, lim, log, core, New(core)).Accept)
+	w.front = clients.New(l, lim, log, core, New(core))
+	w.front.Ready()
+	ln, err := e.Listen("127.0.0.1:0", lim.Clients, log, w.front.Accept)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -414,3 +418,47 @@
 		t.Errorf("%+v, %d runs", a, db.Runs("j"))
 	}
 }
+
+// A drained router says no to an empty query here too, serves what a newcomer brings, closes behind the answer, and
+// serves as before once it is activated. A suspended db machine gets nothing.
+func TestDrainedAndSuspended(t *testing.T) {
+	a, b := standin.NewDB(t, true, nil), standin.NewDB(t, false, nil)
+	w := start(t, a, b)
+	do := func(f func()) {
+		done := make(chan bool)
+		w.loop.Post(func() { f(); close(done) })
+		<-done
+	}
+	old := standin.Dial(t, w.addr)
+	do(func() { w.front.Empty(true); w.core.Suspend(b.Addr, true) })
+	old.Send(pgwire.AppendQuery(nil, ""))
+	if x := old.Until('Z'); x.Code != pgwire.CannotConnectNow {
+		t.Fatalf("%+v", x)
+	}
+	if x := old.Until('Z'); !x.Ended {
+		t.Fatalf("%+v", x)
+	}
+	late, quiet := standin.Dial(t, w.addr), standin.Dial(t, w.addr)
+	late.Send(both("late", "look", 2000))
+	if x := late.Until('Z'); x.Value == "" || x.Value == b.Addr {
+		t.Fatalf("%+v", x)
+	}
+	for _, c := range []*standin.Client{late, quiet} {
+		if x := c.Until('Z'); !x.Ended {
+			t.Fatalf("%+v", x)
+		}
+	}
+	do(func() { w.front.Empty(false); w.core.Suspend(b.Addr, false) })
+	c := standin.Dial(t, w.addr)
+	c.Send(pgwire.AppendQuery(nil, ""))
+	if x := c.Until('Z'); x.Code != "" {
+		t.Fatalf("%+v", x)
+	}
+	for i := range 50 {
+		c.Send(both(fmt.Sprint("again-", i), "look", 2000))
+		if x := c.Until('Z'); x.Value == b.Addr {
+			return
+		}
+	}
+	t.Fatal("never used again")
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -20,6 +20,8 @@
 	// too: with a third in use usual ones have none left to ask with, whatever the router has.
 	ClientsEasy  int // beyond so many, those that ask for nothing are closed to make room,
 	ClientsTight int // and beyond so many sooner
+	Operators    int // connections of operators
+	CallBytes    int // bytes of an operator's call
 	Unread       int // bytes of answers that one client may leave unread
 	Requests     int // requests in hand
 	Connections  int // connections to db machines, those being opened included
@@ -53,6 +55,8 @@
 	ClientMute   time.Duration // one that has started and asked for nothing yet after this,
 	ClientIdle   time.Duration // and one with no open request after this
 	ClientSweep  time.Duration // how often clients are looked at
+	CallWhole    time.Duration // until an operator's call has come whole
+	EmptyIdle    time.Duration // while the router is drained, a client's connection idle for this long is closed
 	WatchWait    time.Duration // what a watch asks discovery to wait
 	CallSlack    time.Duration // a call of discovery fails this long after its wait
 	ListFirst    time.Duration // the router is ready without a list after this
@@ -65,7 +69,8 @@
 // For fills the limits from what the platform grants and the settings say.
 func For(memoryMB, sockets int, connect, idle, longest time.Duration) Limits {
 	// A few descriptors belong to the runtime, pollers, listeners, discovery and syslog.
-	free := sockets - 32
+	const operators = 16
+	free := sockets - 32 - operators
 	// Values of several hundred KB come, in answers and in statements.
 	most := min(1<<20, memoryMB<<20/64)
 	return Limits{
@@ -76,6 +81,7 @@
 		Garbage: 400,
 
 		Startup: 10_000, Message: most, Answer: most, Inbox: most + 64<<10, Buffered: memoryMB << 20 / 8,
+		Operators: operators, CallBytes: 16 << 10,
 		Clients: free * 7 / 10, ClientsEasy: sockets / 8, ClientsTight: sockets / 5, Unread: most + 64<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
@@ -87,6 +93,7 @@
 		ClientUnit: 10 * time.Second, ClientUnread: 5 * time.Second,
 		ClientSilent: 100 * time.Millisecond, ClientTight: 100 * time.Millisecond, ClientMute: 500 * time.Millisecond,
 		ClientIdle: 2 * time.Second, ClientSweep: 50 * time.Millisecond,
+		CallWhole: 2 * time.Second, EmptyIdle: time.Second,
 		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, ListFirst: time.Second,
 		DrainAccept: 500 * time.Millisecond, DrainMost: longest + time.Second, Sweep: time.Second, Report: 10 * time.Second,
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -4,6 +4,7 @@
 import (
 	"container/heap"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,7 +16,10 @@
 
 	mu      sync.Mutex
 	queue   []func()
+	urgent  []func()
 	stopped bool
+
+	pressing atomic.Bool // urgent holds something
 }
 
 // New reads the system's clock once; Now goes on from there without steps.
@@ -39,6 +43,33 @@
 	}
 }
 
+// Urgent hands the loop a function that does not wait for what Post has queued; any goroutine may call it. Guards those
+// who run the router against its load: with a full queue an ordinary turn may be seconds away.
+func (l *Loop) Urgent(f func()) {
+	l.mu.Lock()
+	l.urgent = append(l.urgent, f)
+	l.pressing.Store(true)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// press does what is urgent; it is called between any two other functions.
+func (l *Loop) press() {
+	for l.pressing.Load() {
+		l.mu.Lock()
+		batch := l.urgent
+		l.urgent = nil
+		l.pressing.Store(false)
+		l.mu.Unlock()
+		for _, f := range batch {
+			f()
+		}
+	}
+}
+
 // Stop ends Run once the functions in hand are done; any goroutine may call it.
 func (l *Loop) Stop() {
 	l.Post(func() { l.stopped = true })
@@ -80,16 +111,19 @@
 		l.mu.Unlock()
 		for i, f := range batch {
 			batch[i] = nil
+			l.press()
 			f()
 		}
 		spare = batch
 		for now := l.Now(); len(l.timers.heap) > 0 && l.timers.heap[0].at <= now; {
 			t := heap.Pop(&l.timers).(*Timer)
+			l.press()
 			t.f()
 		}
+		l.press()
 		after()
 		l.mu.Lock()
-		more, stopped := len(l.queue) > 0, l.stopped
+		more, stopped := len(l.queue)+len(l.urgent) > 0, l.stopped
 		l.mu.Unlock()
 		if stopped {
 			return
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -44,3 +44,22 @@
 		t.Fatalf("%d calls", n)
 	}
 }
+
+// What is urgent waits for one function at most, not for all that is queued.
+func TestUrgentComesFirst(t *testing.T) {
+	l := New()
+	n, at := 0, -1
+	for i := range 100 {
+		l.Post(func() {
+			n++
+			if i == 3 {
+				l.Urgent(func() { at = n })
+			}
+		})
+	}
+	l.Stop()
+	l.Run(func() {})
+	if n != 100 || at != 4 {
+		t.Fatalf("after %d of %d", at, n)
+	}
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,168 @@
+// Package operator is where operators call: HTTP/1.1, one call to a connection. It runs beside all clients' work, so its
+// connections are few, have places of their own, and enter the loop by Loop.Urgent.
+package operator
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+	"limeladder/internal/sock"
+)
+
+// Router is what operators act on. Every done is called once, in the loop.
+type Router interface {
+	// Takes says whether this process takes clients.
+	Takes() bool
+	// Suspend takes a db machine out, or lets it back in. known is false for one that was never listed.
+	Suspend(id string, out bool, done func(known bool))
+	// Drain empties the router, or ends that.
+	Drain(on bool, done func())
+}
+
+// Server answers operators' calls. All of it runs in the loop's goroutine.
+type Server struct {
+	loop   *loop.Loop
+	lim    limits.Limits
+	log    *slog.Logger
+	router Router
+	open   []*conn // in the order they came
+}
+
+// New returns a Server; its connections come by Accept.
+func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, r Router) *Server {
+	return &Server{loop: l, lim: lim, log: log, router: r}
+}
+
+// Accept takes a new connection.
+func (s *Server) Accept(c *sock.Conn) sock.Handler {
+	k := &conn{server: s, sock: c}
+	s.open = append(s.open, k)
+	k.timer = s.loop.After(s.lim.CallWhole, func() { k.answer(http.StatusRequestTimeout, "the call does not end") })
+	// Guards the next caller: those that finish no call must not hold all places until their time is up.
+	if len(s.open) > s.lim.Operators/2 {
+		for _, o := range s.open {
+			if !o.whole {
+				o.drop()
+				break
+			}
+		}
+	}
+	return k
+}
+
+// conn is one caller.
+type conn struct {
+	server *Server
+	sock   *sock.Conn
+	timer  *loop.Timer
+	buf    []byte
+	whole  bool // its call has come
+	over   bool
+}
+
+// Data implements sock.Handler.
+func (k *conn) Data(p []byte) {
+	if k.whole || k.over {
+		return // one call to a connection
+	}
+	k.buf = append(k.buf, p...)
+	c, whole, err := parse(k.buf, k.server.lim.CallBytes)
+	switch {
+	case err != nil:
+		status := http.StatusBadRequest
+		switch err {
+		case errLong:
+			status = http.StatusRequestEntityTooLarge
+		case errVersion:
+			status = http.StatusHTTPVersionNotSupported
+		case errLength:
+			status = http.StatusLengthRequired
+		}
+		k.answer(status, err.Error())
+	case whole:
+		k.whole, k.buf = true, nil
+		k.serve(c)
+	}
+}
+
+// Closed implements sock.Handler.
+func (k *conn) Closed(error) { k.drop() }
+
+// serve carries out a call.
+func (k *conn) serve(c call) {
+	r := k.server.router
+	method, act := http.MethodPost, func() {}
+	switch p := c.path; {
+	case len(p) == 2 && p[0] == "v1" && p[1] == "readyz":
+		method = http.MethodGet
+		act = func() {
+			if r.Takes() {
+				k.answer(http.StatusOK, "ready")
+			} else {
+				k.answer(http.StatusServiceUnavailable, "takes no clients")
+			}
+		}
+	case len(p) == 4 && p[0] == "v1" && p[1] == "db-machines" && p[2] != "" && (p[3] == "suspend" || p[3] == "resume"):
+		act = func() {
+			r.Suspend(p[2], p[3] == "suspend", func(known bool) {
+				k.server.log.Info("operator", "call", p[3], "node", p[2], "known", known)
+				if known {
+					k.answer(http.StatusOK, p[3]+"ed")
+				} else {
+					k.answer(http.StatusNotFound, "no db machine of that id was ever listed")
+				}
+			})
+		}
+	case len(p) == 3 && p[0] == "v1" && p[1] == "router" && (p[2] == "drain" || p[2] == "activate"):
+		act = func() {
+			r.Drain(p[2] == "drain", func() {
+				k.server.log.Info("operator", "call", p[2])
+				k.answer(http.StatusOK, p[2]+" begun")
+			})
+		}
+	default:
+		k.answer(http.StatusNotFound, "no such path")
+		return
+	}
+	if c.method != method {
+		k.answer(http.StatusMethodNotAllowed, method+" only", "Allow: "+method)
+		return
+	}
+	act()
+}
+
+// answer ends the call and the connection.
+func (k *conn) answer(status int, text string, header ...string) {
+	if k.over {
+		return
+	}
+	p := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nDate: %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n",
+		status, http.StatusText(status), time.Now().UTC().Format(http.TimeFormat), len(text)+1)
+	for _, h := range header {
+		p = append(append(p, h...), "\r\n"...)
+	}
+	k.sock.Write(append(append(append(p, "\r\n"...), text...), '\n'))
+	k.drop()
+}
+
+// drop closes the connection, once an answer that was written is taken.
+func (k *conn) drop() {
+	if k.over {
+		return
+	}
+	k.over = true
+	k.timer.Stop()
+	k.sock.Finish(k.server.lim.Flush)
+	open := k.server.open[:0]
+	for _, o := range k.server.open {
+		if o != k {
+			open = append(open, o)
+		}
+	}
+	clear(k.server.open[len(open):])
+	k.server.open = open
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,6 +63,7 @@
 type Servers interface {
 	Start(a Attempt, done func(Result)) Call
 	Probe(node string, done func(Result))
+	Suspend(node string, out bool)
 }
 
 // Watcher follows the list of db machines.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -43,6 +43,7 @@
 }
 func (p *peer) Probe(node string, done func(Result)) { done(Result{Status: balance.TimedOut}) }
 func (p *peer) Track()                               {}
+func (p *peer) Suspend(string, bool)                 {}
 func (p *peer) Event(string, ...string)              { p.fail++ }
 func (c *call) Cancel() bool                         { c.over = true; return c.p.written }
 func (c *call) end(s balance.Status)                 { c.over, c.status = true, s; c.done(Result{Status: s}) }
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -316,7 +316,7 @@
 			return
 		}
 	}
-	if p.closed || m.state != "ready" || len(m.idle) >= p.lim.IdleMachine {
+	if p.closed || m.barred || m.state != "ready" || len(m.idle) >= p.lim.IdleMachine {
 		k.end()
 		return
 	}
@@ -343,6 +343,10 @@
 		if c.connect == nil {
 			return false // still with start, which goes on to the next
 		}
+		if k.machine.barred {
+			p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
+			return false
+		}
 		k.machine.waiting = append(k.machine.waiting, c)
 		if p.room(k.machine) {
 			k.machine.dial()
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -38,7 +38,8 @@
 	log      *slog.Logger
 	startup  []byte
 	machines map[string]*machine
-	open     int // connections, those being opened included
+	barred   map[string]bool // taken out by operators, listed or not
+	open     int             // connections, those being opened included
 	closed   bool
 }
 
@@ -46,6 +47,7 @@
 	id, addr string
 	pool     *Pool
 	state    string
+	barred   bool // operators have taken it out
 	open     int
 	opening  int
 	resting  int     // connections that have just carried an answer
@@ -55,7 +57,7 @@
 
 // New returns a Pool that knows no db machine.
 func New(l *loop.Loop, e *sock.Engine, lim limits.Limits, log *slog.Logger) *Pool {
-	p := &Pool{loop: l, engine: e, lim: lim, log: log, machines: map[string]*machine{},
+	p := &Pool{loop: l, engine: e, lim: lim, log: log, machines: map[string]*machine{}, barred: map[string]bool{},
 		startup: pgwire.AppendStartup(nil, "user", "portal", "database", "crm")}
 	p.sweep()
 	return p
@@ -68,7 +70,7 @@
 		seen[e.ID] = true
 		m := p.machines[e.ID]
 		if m == nil {
-			m = &machine{id: e.ID, pool: p}
+			m = &machine{id: e.ID, pool: p, barred: p.barred[e.ID]}
 			p.machines[e.ID] = m
 		}
 		if e.Addr != "" && m.addr != e.Addr {
@@ -90,6 +92,26 @@
 	}
 }
 
+// Suspend takes a db machine out, or lets it back in: nothing new is written there, and who waits for a connection to it
+// is told at once that nothing was.
+func (p *Pool) Suspend(id string, out bool) {
+	if delete(p.barred, id); out {
+		p.barred[id] = true
+	}
+	m := p.machines[id]
+	if m == nil {
+		return
+	}
+	if m.barred = out; !out {
+		return
+	}
+	m.hangUp()
+	for _, c := range m.waiting {
+		p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
+	}
+	m.waiting = nil
+}
+
 // Close ends all idle connections and keeps none from now on.
 func (p *Pool) Close() {
 	p.closed = true
@@ -159,7 +181,7 @@
 
 func (p *Pool) start(node string, c *call) {
 	m := p.machines[node]
-	if m == nil || m.addr == "" {
+	if m == nil || m.addr == "" || m.barred {
 		p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
 		return
 	}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -63,7 +63,7 @@
 			if k.release != nil {
 				k.release()
 			}
-			l.Post(func() { k.gone(err) })
+			k.post(func() { k.gone(err) })
 		}
 	})
 	if err := e.nb.Start(); err != nil {
@@ -89,7 +89,8 @@
 	queued int64        // bytes handed to Write
 	sent   atomic.Int64 // bytes that the system has taken
 
-	release func() // gives back the listener's place, nil = it has none
+	release func()       // gives back the listener's place, nil = it has none
+	post    func(func()) // how what happens on it enters the loop
 
 	mu     sync.Mutex
 	in     []byte // what has come and the loop has not looked at
@@ -110,7 +111,7 @@
 	if full {
 		nb.CloseWithError(errFlood)
 	} else if post {
-		c.engine.loop.Post(c.data)
+		c.post(c.data)
 	}
 }
 
@@ -202,7 +203,7 @@
 		std, err := net.DialTimeout("tcp", addr, within)
 		e.loop.Post(func() {
 			if err == nil {
-				err = e.adopt(std, nil, func(c *Conn) Handler { return done(c, nil) })
+				err = e.adopt(std, nil, e.loop.Post, func(c *Conn) Handler { return done(c, nil) })
 			}
 			if err != nil {
 				done(nil, err)
@@ -213,7 +214,7 @@
 
 // adopt hands a connection to the poller, in the loop: what the poller tells of it comes after open, which returns
 // nil to turn it away. release, if not nil, is called once, when its descriptor is given back.
-func (e *Engine) adopt(std net.Conn, release func(), open func(c *Conn) Handler) error {
+func (e *Engine) adopt(std net.Conn, release func(), post func(func()), open func(c *Conn) Handler) error {
 	if release != nil {
 		release = sync.OnceFunc(release)
 	}
@@ -225,7 +226,7 @@
 		}
 		return err
 	}
-	c := &Conn{engine: e, nb: nb, release: release}
+	c := &Conn{engine: e, nb: nb, release: release, post: post}
 	nb.SetSession(c)
 	if _, err := e.nb.AddConn(nb); err != nil {
 		if release != nil {
@@ -256,12 +257,18 @@
 	if err != nil {
 		return nil, err
 	}
+	return e.Serve(ln, most, e.loop.Post, log, accept), nil
+}
+
+// Serve is Listen on a socket that is bound already. What happens on its connections enters the loop by post, which is
+// Loop.Post or Loop.Urgent.
+func (e *Engine) Serve(ln net.Listener, most int, post func(func()), log *slog.Logger, accept func(c *Conn) Handler) *Listener {
 	l := &Listener{ln: ln, places: make(chan struct{}, most), closed: make(chan struct{}), done: make(chan struct{})}
-	go l.run(e, log, accept)
-	return l, nil
+	go l.run(e, post, log, accept)
+	return l
 }
 
-func (l *Listener) run(e *Engine, log *slog.Logger, accept func(c *Conn) Handler) {
+func (l *Listener) run(e *Engine, post func(func()), log *slog.Logger, accept func(c *Conn) Handler) {
 	defer close(l.done)
 	for {
 		select {
@@ -280,8 +287,8 @@
 			}
 			return
 		}
-		e.loop.Post(func() {
-			if err := e.adopt(std, func() { <-l.places }, accept); err != nil {
+		post(func() {
+			if err := e.adopt(std, func() { <-l.places }, post, accept); err != nil {
 				log.Warn("connection lost", "err", err)
 			}
 		})
