Upgrade in place: inherit the socket, share bans and limits, drain gently

Checked: the log says that the address is in use; the socket in EDGE_INHERITED_FD was not looked at (sock.Listen always bound). SIGTERM went on accepting for 0.5 s and closed all idle connections at once, which with a shared socket takes clients from the successor. Ruled out: lost accepts, since what waits in the socket's queue is left to the other process.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -14,6 +16,7 @@
 	"limeladder/internal/clients"
 	"limeladder/internal/config"
 	"limeladder/internal/extended"
+	"limeladder/internal/handover"
 	"limeladder/internal/limits"
 	"limeladder/internal/list"
 	"limeladder/internal/loop"
@@ -35,14 +38,22 @@
 	pool     *servers.Pool
 	watcher  *list.Watcher
 	fronts   []front
-	draining bool
+	ending   bool // SIGTERM has come
+	draining bool // and the listeners are closed
 	name     string
 	events   router.Events
 	syslog   *syslog.Sender  // nil = off
 	store    *store.Store    // nil = off
 	told     bool            // discovery has answered
 	operator *sock.Listener  // nil = off
-	known    map[string]bool // every db machine that discovery has named
+	known    map[string]bool // the db machines that discovery has named, ever
+	order    []string        // the same, in the order it did
+	shared   *handover.Shared
+	full     limits.Limits // while no other process of this router is alive
+	dep      config.Deploy
+	serving  bool // clients may come
+	emptied  bool // operators have drained the router
+	passed   bool // the listening socket is held by the platform: the next process has it too
 }
 
 // front is one address where clients connect.
@@ -67,26 +78,36 @@
 	if dep.Extended.Listen != "" {
 		d.lim.Clients /= 2 // both fronts share the descriptors
 	}
+	d.full, d.dep, d.passed = d.lim, dep, cfg.Inherited > 0
+	var left handover.State
+	if d.shared, left = handover.Open(os.Getenv("TMPDIR"), cfg.Listen, d.lim.Listed, log); !d.shared.First() {
+		log.Info("another process of this router serves")
+		d.lim = d.full.Lean()
+	}
+	d.memory()
 	var err error
 	if d.engine, err = sock.New(d.loop, cfg.Limits.Sockets, d.lim.Inbox); err != nil {
 		return nil, err
 	}
-	if err := d.open(dep); err != nil {
+	if err := d.openSyslog(); err != nil {
 		return nil, err
 	}
+	if d.shared.First() { // otherwise the other process has it: it is opened once that is gone
+		if d.store, err = d.openStore(); err != nil {
+			return nil, err
+		}
+	}
 	if d.core, err = router.New(d.loop, d.lim, log, cfg.Balance, cfg.SeedValue, d.events); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	d.pool = servers.New(d.loop, d.engine, d.lim, log)
 	d.watcher = list.New(d.loop, d.engine, d.lim, log, cfg.Discovery, d)
 	d.core.Connect(d.pool, d.watcher)
-	if err := d.listen("listen", cfg.Listen, clients.Platform); err != nil {
+	if err := d.listen("listen", cfg.Inherited, cfg.Listen, clients.Platform); err != nil {
 		return nil, err
 	}
-	if dep.Extended.Listen != "" {
-		if err := d.listen("extended.listen", dep.Extended.Listen, extended.New(d.core)); err != nil {
-			return nil, err
-		}
+	if err := d.second(); err != nil {
+		return nil, err
 	}
 	if cfg.Operator != "" {
 		ln, err := net.Listen("tcp", cfg.Operator)
@@ -101,36 +122,76 @@
 		known = *cfg.Known
 	}
 	d.loop.Post(func() {
+		d.Listed(left.Listed)
+		for id := range left.Suspended {
+			d.suspend(id, true)
+		}
+		if left.Drained {
+			d.empty(true)
+		}
 		d.listed(known, balance.ListCached)
 		d.watcher.Track()
 		d.loop.After(d.lim.ListFirst, d.ready)
 		d.report()
 	})
+	d.shared.Follow(d.lim.Share, d.loop.Urgent, d)
 	return d, nil
 }
 
-// open starts what deploy/limeladder.toml turns on.
-func (d *daemon) open(dep config.Deploy) (err error) {
-	if dep.Syslog.Address != "" {
-		if d.syslog, err = syslog.New(dep.Syslog.Address, d.name, d.lim.SyslogQueue, d.lim.SyslogBytes); err != nil {
+// openSyslog starts to send events, if deploy/limeladder.toml says so.
+func (d *daemon) openSyslog() (err error) {
+	if d.dep.Syslog.Address != "" {
+		if d.syslog, err = syslog.New(d.dep.Syslog.Address, d.name, d.lim.SyslogQueue, d.lim.SyslogBytes); err != nil {
 			return fmt.Errorf("syslog.address: %w", err)
 		}
 		d.events = d.syslog
 	}
-	if dep.Store.Name != "" {
-		d.store, err = store.Open(store.Config{Name: dep.Store.Name, Folder: dep.Store.Folder, Peers: dep.Store.Peers,
-			Entries: d.lim.StoreEntries, Queue: d.lim.StoreQueue}, d.log)
-		if err != nil {
-			return err
-		}
-		if n := d.store.Torn(); n > 0 {
-			d.events.Event("torn", "bytes", strconv.FormatInt(n, 10))
-		}
-		d.keep("config/"+d.name, dep)
-	}
 	return nil
 }
 
+// openStore opens the store, if deploy/limeladder.toml says so. Two processes must never have its log at once.
+func (d *daemon) openStore() (*store.Store, error) {
+	c := d.dep.Store
+	if c.Name == "" {
+		return nil, nil
+	}
+	s, err := store.Open(store.Config{Name: c.Name, Folder: c.Folder, Peers: c.Peers, Entries: d.lim.StoreEntries,
+		Queue: d.lim.StoreQueue}, d.log)
+	if err != nil {
+		return nil, err
+	}
+	if n := s.Torn(); n > 0 {
+		d.events.Event("torn", "bytes", strconv.FormatInt(n, 10))
+	}
+	d.loop.Post(func() { d.keep("config/"+d.name, d.dep) })
+	return s, nil
+}
+
+// second opens the second front, if deploy/limeladder.toml says so. While another process of this router holds its
+// address, it is tried again until that lets go.
+func (d *daemon) second() error {
+	addr := d.dep.Extended.Listen
+	if addr == "" || d.draining {
+		return nil
+	}
+	err := d.listen("extended.listen", 0, addr, extended.New(d.core))
+	if errors.Is(err, syscall.EADDRINUSE) && !d.shared.First() {
+		d.loop.After(d.lim.Share, func() {
+			if err := d.second(); err != nil {
+				d.log.Error("the second front stays closed", "err", err)
+			}
+		})
+		return nil
+	}
+	return err
+}
+
+// memory tells the runtime what this process may use.
+func (d *daemon) memory() {
+	debug.SetMemoryLimit(d.lim.Memory)
+	debug.SetGCPercent(d.lim.Garbage)
+}
+
 // keep queues a value for the store; nothing waits for it.
 func (d *daemon) keep(key string, v any) {
 	if d.store == nil {
@@ -155,18 +216,28 @@
 	d.loop.After(d.lim.Report, d.report)
 }
 
-func (d *daemon) listen(field, addr string, speak func(*clients.Conn) clients.Speaker) error {
-	f := clients.New(d.loop, d.lim, d.log, d.core, speak)
-	l, err := d.engine.Listen(addr, d.lim.Clients, d.log, f.Accept)
-	if err != nil {
+// listen opens a front, on the socket that was inherited or, where that is 0, on one of its own.
+func (d *daemon) listen(field string, inherited int, addr string, speak func(*clients.Conn) clients.Speaker) (err error) {
+	var ln net.Listener
+	if inherited > 0 {
+		if ln, err = sock.Inherit(inherited, addr); err != nil {
+			return fmt.Errorf("EDGE_INHERITED_FD: %w", err)
+		}
+	} else if ln, err = net.Listen("tcp", addr); err != nil {
 		return fmt.Errorf("%s: %w", field, err)
 	}
-	d.log.Info("listening", "front", field, "addr", l.Addr().String())
+	f := clients.New(d.loop, d.lim, d.log, d.core, speak)
+	if f.Empty(d.emptied); d.serving {
+		f.Ready()
+	}
+	l := d.engine.Serve(ln, d.lim.Clients, d.loop.Post, d.log, f.Accept)
+	d.log.Info("listening", "front", field, "addr", l.Addr().String(), "inherited", inherited)
 	d.fronts = append(d.fronts, front{f, l})
 	return nil
 }
 
 func (d *daemon) ready() {
+	d.serving = true
 	for _, f := range d.fronts {
 		f.Ready()
 	}
@@ -199,10 +270,11 @@
 		}
 	}
 	d.engine.Stop()
+	d.shared.Close()
 }
 
-// Listed implements list.Sink.
-func (d *daemon) Listed(l config.List) {
+// Told implements list.Sink.
+func (d *daemon) Told(l config.List) {
 	kind := balance.ListDelta
 	if l.Full {
 		kind = balance.ListFull
@@ -218,8 +290,11 @@
 func (d *daemon) listed(l config.List, kind balance.ListKind) {
 	d.pool.List(l)
 	b := balance.List{Kind: kind}
+	var ids []string
 	for _, e := range l.Servers {
-		d.known[e.ID] = true
+		if !d.known[e.ID] {
+			ids = append(ids, e.ID)
+		}
 		if entry, err := e.Balance(); err == nil {
 			b.Entries = append(b.Entries, entry)
 		}
@@ -227,7 +302,10 @@
 	if len(l.Servers) > 0 {
 		d.log.Info("list", "version", l.Version, "full", l.Full, "servers", fmt.Sprint(l.Servers))
 	}
-	d.core.List(b)
+	if d.core.List(b); len(ids) > 0 {
+		d.Listed(ids)
+		d.shared.List(ids)
+	}
 }
 
 // ListFailed implements list.Sink.
@@ -271,22 +349,29 @@
 // drain ends the program after SIGTERM: connections are still taken for a while, since the platform sends some;
 // what is taken is finished.
 func (d *daemon) drain() {
-	if d.draining {
+	if d.ending {
 		return
 	}
+	d.ending = true
 	d.log.Info("draining")
 	d.events.Event("draining")
 	for _, f := range d.fronts {
-		f.Drain()
+		f.Drain(d.passed)
+	}
+	accept := d.lim.DrainAccept
+	if d.passed {
+		accept = 0 // the next process has the socket: what comes from now on is its own
 	}
-	d.loop.After(d.lim.DrainAccept, func() {
+	d.loop.After(accept, func() {
 		for _, f := range d.fronts {
 			f.listener.Close()
 		}
 		// What the listeners had taken is in the loop's queue: look at it first.
 		d.loop.Post(func() {
 			for _, f := range d.fronts {
-				f.Finish()
+				if !d.passed {
+					f.Finish()
+				}
 			}
 			d.draining = true
 		})
--- a/cmd/limeladder/daemon_test.go
+++ b/cmd/limeladder/daemon_test.go
@@ -223,3 +223,128 @@
 		t.Fatalf("%v\n%s", err, log.String())
 	}
 }
+
+// A process is replaced while it serves: the socket stays, a ban and the ids that were listed pass on, what is in hand is
+// finished, idle clients are closed, and the second front moves over. The first one then ends in order.
+func TestUpgrade(t *testing.T) {
+	asked, goOn := make(chan bool, 9), make(chan bool)
+	db := standin.NewDB(t, true, func(typ byte, id string) standin.Act {
+		if id == "slow" {
+			asked <- true
+			<-goOn
+		}
+		return standin.Act{}
+	})
+	barred := standin.NewDB(t, false, nil)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"version":3,"full":true,"servers":[{"id":"s1","addr":%q,"zone":"a","cell":7,"state":"ready","mode":"read-write"},
+			{"id":"s2","addr":%q,"zone":"a","cell":7,"state":"ready"}]}`, db.Addr, barred.Addr)
+	}))
+	defer discovery.CloseClientConnections()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	held, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	free := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	dir, tmp, second := t.TempDir(), t.TempDir(), free()
+	os.WriteFile(dir+"/config.json", []byte(configText(discovery.Listener.Addr().String())), 0o600)
+	os.WriteFile(dir+"/deploy.toml", []byte(fmt.Sprintf("[extended]\nlisten = %q\n", second)), 0o600)
+	start := func() (cmd *exec.Cmd, operator string) {
+		cmd, operator = program(dir+"/config.json"), free()
+		cmd.ExtraFiles = []*os.File{held}
+		cmd.Env = append(cmd.Env, "EDGE_INHERITED_FD=3", "TMPDIR="+tmp, "EDGE_OPERATOR="+operator, "LIMELADDER_DEPLOY="+dir+"/deploy.toml",
+			"EDGE_LISTEN="+ln.Addr().String())
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { cmd.Process.Kill() })
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			if r, err := http.Get("http://" + operator + "/v1/readyz"); err == nil && r.StatusCode == 200 {
+				return cmd, operator
+			}
+			if time.Now().After(end) {
+				t.Fatal("not ready")
+			}
+		}
+	}
+	call := func(operator, path string, want int) {
+		t.Helper()
+		r, err := http.Post("http://"+operator+"/v1/"+path, "", nil)
+		if err != nil || r.StatusCode != want {
+			t.Fatalf("%s: %v %v", path, r, err)
+		}
+	}
+	first, operator := start()
+	call(operator, "db-machines/s3/suspend", 404)
+	call(operator, "db-machines/s2/suspend", 200)
+	slow, idle := standin.Dial(t, ln.Addr().String()), standin.Dial(t, ln.Addr().String())
+	slow.Send(pgwire.AppendQuery(nil, sql("slow", "job")))
+	<-asked
+	_, operator = start()
+	first.Process.Signal(syscall.SIGTERM)
+	if a := idle.Until('Z'); !a.Ended {
+		t.Fatalf("%+v", a)
+	}
+	close(goOn)
+	if a := slow.Until('Z'); a.Types != "TDCZ" || db.Runs("slow") != 1 {
+		t.Fatalf("%+v", a)
+	}
+	if err := first.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	for _, addr := range []string{ln.Addr().String(), second} {
+		for i := range 20 {
+			for { // the second front moves over in a moment
+				if c, err := net.Dial("tcp", addr); err == nil {
+					c.Close()
+					break
+				}
+			}
+			c := standin.Dial(t, addr)
+			c.Send(pgwire.AppendQuery(nil, sql(fmt.Sprint(addr, i), "look")))
+			if a := c.Until('Z'); a.Value != db.Addr {
+				t.Fatalf("%s: %+v", addr, a)
+			}
+			c.Close()
+		}
+	}
+	call(operator, "db-machines/s2/resume", 200)
+}
+
+// A descriptor that is no listening socket at the right address is one line that names the variable.
+func TestBadInheritedSocket(t *testing.T) {
+	path := t.TempDir() + "/config.json"
+	os.WriteFile(path, []byte(configText("127.0.0.1:1")), 0o600)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	socket, _ := ln.(*net.TCPListener).File()
+	file, _ := os.Open(path)
+	for fd, f := range map[string]*os.File{"x": file, "1": file, "3": file, "99": file, "03": socket} {
+		cmd := program(path)
+		cmd.ExtraFiles = []*os.File{f}
+		cmd.Env = append(cmd.Env, "EDGE_INHERITED_FD="+fd, "EDGE_LISTEN=127.0.0.9:0", "TMPDIR="+t.TempDir())
+		out, err := cmd.CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "EDGE_INHERITED_FD:") {
+			t.Errorf("%s: %v %q", fd, err, out)
+		}
+	}
+}
--- a/cmd/limeladder/main.go
+++ b/cmd/limeladder/main.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"limeladder/internal/config"
@@ -44,8 +43,6 @@
 		fmt.Fprintln(os.Stderr, "limeladder:", err)
 		os.Exit(1)
 	}
-	debug.SetMemoryLimit(d.lim.Memory)
-	debug.SetGCPercent(d.lim.Garbage)
 	go d.heed(signals, os.Getenv)
 	d.run()
 }
--- a/cmd/limeladder/operate.go
+++ b/cmd/limeladder/operate.go
@@ -1,6 +1,11 @@
 package main
 
-// What operators ask for, as internal/operator hands it on. All of it runs in the loop's goroutine.
+import (
+	"runtime/debug"
+)
+
+// What operators ask for, as internal/operator hands it on, and what the other process of this router has been asked, as
+// internal/handover does. All of it runs in the loop's goroutine.
 
 // Takes implements operator.Router.
 func (d *daemon) Takes() bool { return d.fronts[0].Takes() }
@@ -12,7 +17,8 @@
 		return
 	}
 	d.suspend(id, out)
-	done(true)
+	// Guards the ban across an upgrade: it is in the folder before the operator has his yes.
+	d.shared.Suspend(id, out, func() { d.loop.Urgent(func() { done(true) }) })
 }
 
 func (d *daemon) suspend(id string, out bool) {
@@ -28,7 +34,7 @@
 // Drain implements operator.Router.
 func (d *daemon) Drain(on bool, done func()) {
 	d.empty(on)
-	done()
+	d.shared.Drain(on, func() { d.loop.Urgent(done) })
 }
 
 func (d *daemon) empty(on bool) {
@@ -38,7 +44,56 @@
 	}
 	d.log.Info(name)
 	d.events.Event(name)
+	d.emptied = on
 	for _, f := range d.fronts {
 		f.Empty(on)
 	}
 }
+
+// Suspended implements handover.Sink.
+func (d *daemon) Suspended(id string, out bool) { d.suspend(id, out) }
+
+// Drained implements handover.Sink.
+func (d *daemon) Drained(on bool) { d.empty(on) }
+
+// Listed implements handover.Sink.
+func (d *daemon) Listed(ids []string) {
+	for _, id := range ids {
+		if !d.known[id] {
+			d.known[id] = true
+			d.order = append(d.order, id)
+		}
+	}
+	for len(d.order) > d.lim.Listed { // guards memory: db machines come under new ids day after day
+		delete(d.known, d.order[0])
+		d.order = d.order[1:]
+	}
+}
+
+// Alone implements handover.Sink. Guards the router's memory and descriptors, which the platform counts over both
+// processes: each goes by a half while there are two.
+func (d *daemon) Alone(alone bool) {
+	d.log.Info("processes of this router", "alone", alone)
+	if d.lim = d.full; !alone {
+		d.lim = d.full.Lean()
+	}
+	d.memory()
+	d.pool.Limit(d.lim)
+	for _, f := range d.fronts {
+		f.Limit(d.lim)
+		f.listener.Resize(d.lim.Clients)
+	}
+	if !alone {
+		go debug.FreeOSMemory() // what the other one starts with has to come from here
+		return
+	}
+	if d.store == nil && !d.ending {
+		go func() {
+			s, err := d.openStore()
+			if err != nil {
+				d.log.Error("the store stays closed", "err", err)
+			}
+			d.loop.Post(func() { d.store = s })
+		}()
+	}
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -41,6 +41,7 @@
 	ready    bool
 	draining bool // the program is about to end
 	empty    bool // operators have drained the router
+	gentle   bool // another process takes the clients: there is time to let each finish
 	conns    map[*Conn]struct{}
 	buffered int // bytes of all clients that wait to be read or are kept for them
 }
@@ -78,7 +79,7 @@
 		}
 	}
 	for c := range f.conns {
-		if f.empty && now-c.openAt > f.lim.EmptyIdle && c.spare(now, f.lim.EmptyIdle) {
+		if (f.empty || f.gentle) && now-c.openAt > f.lim.EmptyIdle && c.spare(now, f.lim.EmptyIdle) {
 			c.End()
 		}
 	}
@@ -120,11 +121,18 @@
 // Takes says whether the platform may send clients.
 func (f *Front) Takes() bool { return f.ready && !f.empty && !f.draining }
 
-// Drain closes each connection as soon as it is between requests. New ones serve what they bring.
-func (f *Front) Drain() {
-	f.draining = true
+// Limit sets new limits.
+func (f *Front) Limit(lim limits.Limits) { f.lim = lim }
+
+// Drain closes each connection as soon as it is between requests. New ones serve what they bring. A gentle drain closes
+// right behind answers, and what is idle only once it was quiet for a while: a close at any other moment may cross a
+// request.
+func (f *Front) Drain(gentle bool) {
+	f.draining, f.gentle = true, gentle
 	for c := range f.conns {
-		c.rest()
+		if !gentle {
+			c.rest()
+		}
 	}
 }
 
@@ -296,7 +304,8 @@
 
 // rest closes a connection between requests when the program is about to end.
 func (c *Conn) rest() {
-	if (c.front.draining || c.front.empty) && c.started && !c.ended && c.request == "" && c.reader.Waiting() == 0 && c.speaker.Idle() {
+	if (c.front.draining || c.front.empty) && c.started && !c.ended && c.request == "" && c.reader.Waiting() == 0 && c.speaker.Idle() &&
+		c.sock.Quiet() {
 		c.End()
 	}
 }
@@ -306,6 +315,7 @@
 	f := c.front
 	if f.ready && !f.empty {
 		c.Write(pgwire.AppendReady(pgwire.Append(nil, 'I')))
+		c.rest()
 		return
 	}
 	why := "starting up"
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -161,7 +161,7 @@
 func TestDrain(t *testing.T) {
 	f, _, l, addr := start(t)
 	idle, busy := standin.Dial(t, addr), standin.Dial(t, addr)
-	l.Post(f.Drain)
+	l.Post(func() { f.Drain(false) })
 	if a := idle.Until('Z'); !a.Ended {
 		t.Fatalf("%+v", a)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -70,6 +70,7 @@
 	Settings Settings `json:"settings"`
 
 	SeedValue uint64         `json:"-"`
+	Inherited int            `json:"-"` // descriptor of the socket where clients connect, 0 = it has to be bound
 	Balance   balance.Config `json:"-"`
 }
 
@@ -123,6 +124,11 @@
 		}
 	}
 	var err error
+	if v := getenv("EDGE_INHERITED_FD"); v != "" {
+		if c.Inherited, err = strconv.Atoi(v); err != nil || c.Inherited < 3 {
+			return nil, fmt.Errorf("EDGE_INHERITED_FD: %q is no descriptor", v)
+		}
+	}
 	if c.SeedValue, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", c.Seed)
 	}
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,269 @@
+// Package handover is what a process shares with the one that replaces it, while both serve: who is alone, what operators
+// have asked for, and which db machines were ever listed. It is a folder of the router's own under $TMPDIR.
+package handover
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"log/slog"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+// Sink is told what the other process has changed. Its methods are called by post.
+type Sink interface {
+	Suspended(id string, out bool)
+	Drained(on bool)
+	Listed(ids []string)
+	// Alone says whether this is the only process from now on.
+	Alone(alone bool)
+}
+
+// State is what the folder holds.
+type State struct {
+	Suspended map[string]bool
+	Drained   bool
+	Listed    []string
+}
+
+// Shared is the folder. Its methods, but for Open's work, only queue what a goroutine of its own does.
+type Shared struct {
+	dir    string // "" = there is none: all of it stays in this process
+	log    *slog.Logger
+	most   int // ids kept
+	jobs   chan func()
+	stop   chan struct{}
+	done   chan struct{}
+	seen   State // as the folder was last, owned by the goroutine
+	listed time.Time
+	serves *os.File // locked by the process that serves
+	next   *os.File // locked by the one that is to replace it
+	alone  bool
+}
+
+// Open reads the folder of the router that listens at the given address. Without a root, or where it can't be written,
+// nothing is shared. most bounds the ids of db machines that are kept.
+func Open(root, listen string, most int, log *slog.Logger) (*Shared, State) {
+	s := &Shared{log: log, most: most, jobs: make(chan func(), 256), stop: make(chan struct{}), done: make(chan struct{}), alone: true}
+	if root == "" {
+		return s, s.seen
+	}
+	dir := filepath.Join(root, "limeladder-"+url.PathEscape(listen))
+	err := os.MkdirAll(filepath.Join(dir, "suspended"), 0o700)
+	for name, f := range map[string]**os.File{"serves": &s.serves, "next": &s.next} {
+		if err == nil {
+			*f, err = os.OpenFile(filepath.Join(dir, name), os.O_CREATE|os.O_RDWR, 0o600)
+		}
+	}
+	if err != nil {
+		log.Warn("nothing is shared with another process", "err", err)
+		return s, s.seen
+	}
+	s.dir = dir
+	if s.alone = lock(s.serves); !s.alone {
+		lock(s.next)
+	}
+	s.read()
+	return s, s.seen
+}
+
+// lock says whether this process holds the lock now. The system gives it up when the process ends, however it does.
+func lock(f *os.File) bool { return syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil }
+
+// First says whether no other process served when this one started.
+func (s *Shared) First() bool { return s.alone }
+
+// Follow starts to look at the folder now and then. What the other process has changed is told to sink by post.
+func (s *Shared) Follow(every time.Duration, post func(func()), sink Sink) {
+	go func() {
+		defer close(s.done)
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for {
+			select {
+			case f := <-s.jobs:
+				f()
+			case <-tick.C:
+				s.look(post, sink)
+			case <-s.stop:
+				for len(s.jobs) > 0 {
+					(<-s.jobs)()
+				}
+				return
+			}
+		}
+	}()
+}
+
+// Close ends it; what is queued is written first.
+func (s *Shared) Close() {
+	close(s.stop)
+	<-s.done
+	for _, f := range []*os.File{s.serves, s.next} {
+		if f != nil {
+			f.Close()
+		}
+	}
+}
+
+// look compares the folder with what it was.
+func (s *Shared) look(post func(func()), sink Sink) {
+	if s.dir == "" {
+		return
+	}
+	was := s.seen
+	s.read()
+	now := s.seen
+	for id := range now.Suspended {
+		if !was.Suspended[id] {
+			post(func() { sink.Suspended(id, true) })
+		}
+	}
+	for id := range was.Suspended {
+		if !now.Suspended[id] {
+			post(func() { sink.Suspended(id, false) })
+		}
+	}
+	if was.Drained != now.Drained {
+		post(func() { sink.Drained(now.Drained) })
+	}
+	if !slices.Equal(now.Listed, was.Listed) {
+		post(func() { sink.Listed(now.Listed) })
+	}
+	// Only a process that waits to serve alone holds the other lock for long. The one that serves tries it in passing.
+	serves, alone := lock(s.serves), lock(s.next) // it is the same to hold one already
+	if serves && alone {
+		syscall.Flock(int(s.next.Fd()), syscall.LOCK_UN)
+	}
+	alone = alone && serves
+	if alone != s.alone {
+		s.alone = alone
+		post(func() { sink.Alone(alone) })
+	}
+}
+
+// read reads the folder. Files that are stale or broken are passed over: no process may fail on what another has left.
+func (s *Shared) read() {
+	now := State{Suspended: map[string]bool{}, Listed: s.seen.Listed}
+	entries, err := os.ReadDir(filepath.Join(s.dir, "suspended"))
+	if err != nil {
+		return
+	}
+	for _, e := range entries {
+		if p, err := os.ReadFile(filepath.Join(s.dir, "suspended", e.Name())); err == nil && name(string(p)) == e.Name() {
+			now.Suspended[string(p)] = true
+		}
+	}
+	_, err = os.Stat(filepath.Join(s.dir, "drained"))
+	now.Drained = err == nil
+	if i, err := os.Stat(filepath.Join(s.dir, "listed")); err == nil && i.ModTime() != s.listed {
+		s.listed = i.ModTime()
+		now.Listed = union(now.Listed, s.ids(), s.most)
+	}
+	s.seen = now
+}
+
+func (s *Shared) ids() (ids []string) {
+	p, err := os.ReadFile(filepath.Join(s.dir, "listed"))
+	if err != nil || json.Unmarshal(p, &ids) != nil {
+		return nil
+	}
+	return ids
+}
+
+// union adds to ids what is new in more, and drops the oldest beyond most.
+func union(ids, more []string, most int) []string {
+	has := map[string]bool{}
+	out := make([]string, 0, len(ids)+len(more))
+	for _, id := range append(append(out, ids...), more...) {
+		if !has[id] {
+			has[id] = true
+			out = append(out, id)
+		}
+	}
+	return out[max(0, len(out)-most):]
+}
+
+// name is the file's name of an id, which may hold anything. The file holds the id itself.
+func name(id string) string {
+	h := sha256.Sum256([]byte(id))
+	return hex.EncodeToString(h[:])
+}
+
+// Suspend notes that operators have taken a db machine out, or let it back in. done is called once the file says so.
+func (s *Shared) Suspend(id string, out bool, done func()) {
+	s.do(func() {
+		if s.put(filepath.Join("suspended", name(id)), []byte(id), out) {
+			seen := map[string]bool{}
+			for k := range s.seen.Suspended {
+				seen[k] = true
+			}
+			if delete(seen, id); out {
+				seen[id] = true
+			}
+			s.seen.Suspended = seen
+		}
+		done()
+	})
+}
+
+// Drain notes that operators have drained the router, or activated it.
+func (s *Shared) Drain(on bool, done func()) {
+	s.do(func() {
+		if s.put("drained", nil, on) {
+			s.seen.Drained = on
+		}
+		done()
+	})
+}
+
+// List notes db machines that discovery has named.
+func (s *Shared) List(ids []string) {
+	s.do(func() {
+		all := union(s.ids(), ids, s.most) // the other process may have named others
+		if p, err := json.Marshal(all); err == nil && s.put("listed", p, true) {
+			s.seen.Listed = union(s.seen.Listed, ids, s.most)
+		}
+	})
+}
+
+func (s *Shared) do(f func()) {
+	if s.dir == "" {
+		go f() // there is nothing to write, and no goroutine need be waited for
+		return
+	}
+	select {
+	case s.jobs <- f:
+	default:
+		go func() { s.jobs <- f }() // the loop never waits for a file
+	}
+}
+
+// put makes a file say p, or removes it. A file is renamed into place: the other process never reads half of it.
+func (s *Shared) put(file string, p []byte, there bool) bool {
+	if s.dir == "" {
+		return false
+	}
+	path := filepath.Join(s.dir, file)
+	var err error
+	if there {
+		part := filepath.Join(s.dir, "part."+filepath.Base(file)+"."+strconv.Itoa(os.Getpid()))
+		if err = os.WriteFile(part, p, 0o600); err == nil {
+			err = os.Rename(part, path)
+		}
+	} else if err = os.Remove(path); errors.Is(err, fs.ErrNotExist) {
+		err = nil
+	}
+	if err != nil {
+		s.log.Warn("not shared with another process", "file", file, "err", err)
+	}
+	return err == nil
+}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,134 @@
+package handover
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// sink notes what it is told, in the order it is.
+type sink struct {
+	out   map[string]bool
+	drain bool
+	ids   []string
+	alone bool
+	told  chan string
+}
+
+func (s *sink) Suspended(id string, out bool) { s.out[id] = out; s.told <- id }
+func (s *sink) Drained(on bool)               { s.drain = on; s.told <- "drain" }
+func (s *sink) Listed(ids []string)           { s.ids = ids; s.told <- "ids" }
+func (s *sink) Alone(alone bool)              { s.alone = alone; s.told <- "alone" }
+
+func (s *sink) wait(t *testing.T, want string) {
+	t.Helper()
+	select {
+	case got := <-s.told:
+		if got != want {
+			t.Fatalf("told %s, not %s", got, want)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatalf("not told %s", want)
+	}
+}
+
+func open(t *testing.T, root string) (*Shared, State, *sink) {
+	s, left := Open(root, "127.0.0.1:1", 3, quiet)
+	k := &sink{out: map[string]bool{}, told: make(chan string, 99)}
+	s.Follow(time.Millisecond, func(f func()) { f() }, k)
+	return s, left, k
+}
+
+// What one process is asked binds in the other, whichever it is; a third finds all of it; who is left serves alone.
+func TestTwoProcesses(t *testing.T) {
+	root := t.TempDir()
+	a, _, ka := open(t, root)
+	if !a.First() {
+		t.Fatal("not alone")
+	}
+	b, _, kb := open(t, root)
+	if b.First() {
+		t.Fatal("alone beside another")
+	}
+	ka.wait(t, "alone")
+	wait := make(chan bool, 9)
+	done := func() { wait <- true }
+	a.Suspend("s/1", true, done)
+	kb.wait(t, "s/1")
+	b.Suspend("s-2", true, done)
+	ka.wait(t, "s-2")
+	b.Suspend("s/1", false, done)
+	ka.wait(t, "s/1")
+	a.Drain(true, done)
+	kb.wait(t, "drain")
+	for range 4 {
+		<-wait
+	}
+	if ka.alone || ka.out["s/1"] || !ka.out["s-2"] || !kb.drain {
+		t.Fatalf("%+v %+v", ka, kb)
+	}
+	for _, s := range []*Shared{a, b} { // the oldest is dropped beyond three
+		s.List([]string{"x", "y"})
+	}
+	a.List([]string{"z", "u"})
+	for range 2 {
+		kb.wait(t, "ids")
+		if slices.Contains(kb.ids, "u") {
+			break
+		}
+	}
+	a.Close()
+	kb.wait(t, "alone")
+	b.Close()
+	c, left, _ := open(t, root)
+	defer c.Close()
+	if !kb.alone || !c.First() || !left.Drained || !left.Suspended["s-2"] || left.Suspended["s/1"] || !slices.Equal(left.Listed, []string{"y", "z", "u"}) {
+		t.Fatalf("%+v", left)
+	}
+}
+
+// Garbage in any file, and files of no use, are passed over; where nothing can be written, all stays in the process.
+func TestBrokenFiles(t *testing.T) {
+	rng := rand.New(rand.NewPCG(8, 9))
+	root := t.TempDir()
+	s, _, _ := open(t, root)
+	done := make(chan bool)
+	s.Suspend("s-1", true, func() { close(done) })
+	<-done
+	dir := s.dir
+	s.Close()
+	for i := range 50 {
+		p := make([]byte, rng.IntN(99))
+		for i := range p {
+			p[i] = byte(rng.Uint32())
+		}
+		for _, f := range []string{"listed", "suspended/junk", "suspended/" + name("s-9"), "part.listed.1"} {
+			os.WriteFile(filepath.Join(dir, f), p[:rng.IntN(len(p)+1)], 0o600)
+		}
+		s, left, _ := open(t, root)
+		if !left.Suspended["s-1"] || len(left.Suspended) != 1 || len(left.Listed) > 0 {
+			t.Fatalf("round %d: %+v", i, left)
+		}
+		s.Close()
+	}
+	file := filepath.Join(t.TempDir(), "file")
+	os.WriteFile(file, nil, 0o600)
+	for _, root := range []string{"", file, "/dev/null"} {
+		s, left := Open(root, "127.0.0.1:1", 3, quiet)
+		s.Follow(time.Millisecond, func(f func()) { f() }, &sink{})
+		done := make(chan bool)
+		s.Suspend("s-1", true, func() { close(done) })
+		<-done
+		if !s.First() || len(left.Suspended) > 0 {
+			t.Fatal(root)
+		}
+		s.Close()
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -27,6 +27,7 @@
 	Connections  int // connections to db machines, those being opened included
 	PerMachine   int // the same for one db machine
 	IdleMachine  int // idle connections kept to one db machine
+	Listed       int // db machines that were ever listed
 	Prepared     int // prepared statements and portals of one client
 	ListBytes    int // bytes of an answer of discovery
 	ListHeader   int // bytes of its header
@@ -64,6 +65,14 @@
 	DrainMost    time.Duration // the program ends at the latest this long after SIGTERM
 	Sweep        time.Duration // how often idle connections are looked at
 	Report       time.Duration // how often the counters are logged
+	Share        time.Duration // how often what is shared with another process is looked at
+}
+
+// Lean is what a process may use while another one of the same router is alive: the platform counts them as one.
+func (l Limits) Lean() Limits {
+	l.Memory, l.Garbage, l.Buffered = l.Memory/2, 100, l.Buffered/2
+	l.Clients, l.Connections, l.IdleMachine = l.Clients/2, l.Connections/2, max(2, l.IdleMachine/2)
+	return l
 }
 
 // For fills the limits from what the platform grants and the settings say.
@@ -83,7 +92,7 @@
 		Startup: 10_000, Message: most, Answer: most, Inbox: most + 64<<10, Buffered: memoryMB << 20 / 8,
 		Operators: operators, CallBytes: 16 << 10,
 		Clients: free * 7 / 10, ClientsEasy: sockets / 8, ClientsTight: sockets / 5, Unread: most + 64<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
-		Requests: 4 * free, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
+		Requests: 4 * free, Listed: 10_000, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
 		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Rest: 2 * time.Millisecond, Stall: connect, Idle: idle * 3 / 4,
@@ -95,6 +104,7 @@
 		ClientIdle: 2 * time.Second, ClientSweep: 50 * time.Millisecond,
 		CallWhole: 2 * time.Second, EmptyIdle: time.Second,
 		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, ListFirst: time.Second,
-		DrainAccept: 500 * time.Millisecond, DrainMost: longest + time.Second, Sweep: time.Second, Report: 10 * time.Second,
+		DrainAccept: 500 * time.Millisecond, DrainMost: longest + 600*time.Millisecond, Sweep: time.Second, Report: 10 * time.Second,
+		Share: 100 * time.Millisecond,
 	}
 }
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -16,7 +16,7 @@
 
 // Sink is told what discovery says.
 type Sink interface {
-	Listed(l config.List)
+	Told(l config.List)
 	ListFailed()
 }
 
@@ -191,7 +191,7 @@
 		}
 	}
 	w.version, w.whole = l.Version, false
-	w.sink.Listed(l)
+	w.sink.Told(l)
 	// At once: a watch goes on only if its next call comes within 200 ms.
 	if !w.stopped {
 		w.call()
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -71,8 +71,8 @@
 	fails chan bool
 }
 
-func (s told) Listed(l config.List) { s.lists <- l }
-func (s told) ListFailed()          { s.fails <- true }
+func (s told) Told(l config.List) { s.lists <- l }
+func (s told) ListFailed()        { s.fails <- true }
 
 func watch(t *testing.T, lim limits.Limits, h http.HandlerFunc) (told, *Watcher, *loop.Loop) {
 	srv := httptest.NewServer(h)
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -112,6 +112,9 @@
 	m.waiting = nil
 }
 
+// Limit sets new limits. What is beyond them is closed as it becomes idle.
+func (p *Pool) Limit(lim limits.Limits) { p.lim = lim }
+
 // Close ends all idle connections and keeps none from now on.
 func (p *Pool) Close() {
 	p.closed = true
@@ -128,6 +131,8 @@
 			m.idle[0].end()
 		}
 	}
+	for p.open > p.lim.Connections && p.shed() {
+	}
 	p.loop.After(p.lim.Sweep, p.sweep)
 }
 
@@ -139,6 +144,11 @@
 	if p.open < p.lim.Connections {
 		return true
 	}
+	return p.shed()
+}
+
+// shed closes the connection that has been idle for the longest time, if any is.
+func (p *Pool) shed() bool {
 	var oldest *conn
 	for _, o := range p.machines {
 		if len(o.idle) > 0 && (oldest == nil || o.idle[0].idleAt < oldest.idleAt) {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -243,10 +244,14 @@
 
 // Listener accepts connections until it is closed.
 type Listener struct {
-	ln     net.Listener
-	places chan struct{} // one for each connection that is open
-	closed chan struct{}
-	done   chan struct{}
+	ln   net.Listener
+	done chan struct{}
+
+	mu     sync.Mutex
+	freed  *sync.Cond
+	used   int // connections that are open, or being accepted
+	most   int
+	closed bool
 }
 
 // Listen accepts at addr, so many connections at a time: further ones wait in the system's queue until there is
@@ -263,7 +268,8 @@
 // Serve is Listen on a socket that is bound already. What happens on its connections enters the loop by post, which is
 // Loop.Post or Loop.Urgent.
 func (e *Engine) Serve(ln net.Listener, most int, post func(func()), log *slog.Logger, accept func(c *Conn) Handler) *Listener {
-	l := &Listener{ln: ln, places: make(chan struct{}, most), closed: make(chan struct{}), done: make(chan struct{})}
+	l := &Listener{ln: ln, most: most, done: make(chan struct{})}
+	l.freed = sync.NewCond(&l.mu)
 	go l.run(e, post, log, accept)
 	return l
 }
@@ -271,14 +277,12 @@
 func (l *Listener) run(e *Engine, post func(func()), log *slog.Logger, accept func(c *Conn) Handler) {
 	defer close(l.done)
 	for {
-		select {
-		case l.places <- struct{}{}:
-		case <-l.closed:
+		if !l.take() {
 			return
 		}
 		std, err := l.ln.Accept()
 		if err != nil {
-			<-l.places
+			l.give()
 			if ne, ok := err.(net.Error); ok && ne.Timeout() || !isClosed(err) {
 				// Guards against a hot loop while no descriptor is free.
 				log.Warn("accept failed", "err", err)
@@ -288,7 +292,7 @@
 			return
 		}
 		post(func() {
-			if err := e.adopt(std, func() { <-l.places }, post, accept); err != nil {
+			if err := e.adopt(std, l.give, post, accept); err != nil {
 				log.Warn("connection lost", "err", err)
 			}
 		})
@@ -298,13 +302,60 @@
 // Addr is where it listens.
 func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
 
-// Close stops accepting.
+// Close stops accepting. What waits in the system's queue is left to whoever else holds the socket.
 func (l *Listener) Close() {
-	l.ln.Close()
-	close(l.closed)
+	l.ln.Close() // never a shutdown, which would end it for the other process too
+	l.change(func() { l.closed = true })
 	<-l.done
 }
 
+// Resize sets how many connections may be open at a time. Those that are beyond stay.
+func (l *Listener) Resize(most int) { l.change(func() { l.most = most }) }
+
+func (l *Listener) change(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+	l.freed.Broadcast()
+}
+
+func (l *Listener) give() { l.change(func() { l.used-- }) }
+
+// take waits for a place; false says that the listener is closed.
+func (l *Listener) take() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.used >= l.most && !l.closed {
+		l.freed.Wait()
+	}
+	l.used++
+	return !l.closed
+}
+
+// Inherit makes a listener of a socket that this process was given and that others hold too. addr is where it should
+// listen.
+func Inherit(fd int, addr string) (net.Listener, error) {
+	f := os.NewFile(uintptr(fd), "listener")
+	if f == nil {
+		return nil, fmt.Errorf("%d is no descriptor", fd)
+	}
+	defer f.Close() // the listener has one of its own
+	if on, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil || on == 0 {
+		return nil, fmt.Errorf("descriptor %d is no socket that listens", fd)
+	}
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, err
+	}
+	want, err := net.ResolveTCPAddr("tcp", addr)
+	if tcp, ok := ln.Addr().(*net.TCPAddr); err != nil || !ok || want.Port != 0 && want.Port != tcp.Port ||
+		want.IP != nil && !want.IP.Equal(tcp.IP) {
+		ln.Close()
+		return nil, fmt.Errorf("descriptor %d listens at %s, not at %s", fd, ln.Addr(), addr)
+	}
+	return ln, nil
+}
+
 func isClosed(err error) bool {
 	op, ok := err.(*net.OpError)
 	return ok && op.Err == net.ErrClosed || err == net.ErrClosed
