Handover: a second change of the ids within one tick of the clock is seen

Seen: TestTwoProcesses once waited in vain for ids. Checked: two renames within 4 ms leave the same time on the file, and read compared that alone; ruled out: the goroutine's queue.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -43,7 +43,7 @@
 	stop   chan struct{}
 	done   chan struct{}
 	seen   State // as the folder was last, owned by the goroutine
-	listed time.Time
+	listed fs.FileInfo // of the file of ids that was read last
 	serves *os.File // locked by the process that serves
 	next   *os.File // locked by the one that is to replace it
 	alone  bool
@@ -164,8 +164,10 @@
 	}
 	_, err = os.Stat(filepath.Join(s.dir, "drained"))
 	now.Drained = err == nil
-	if i, err := os.Stat(filepath.Join(s.dir, "listed")); err == nil && i.ModTime() != s.listed {
-		s.listed = i.ModTime()
+	// Guards against two changes within one tick of the file system's clock: the time alone would hide the second.
+	if i, err := os.Stat(filepath.Join(s.dir, "listed")); err == nil && (s.listed == nil || !os.SameFile(i, s.listed) ||
+		i.ModTime() != s.listed.ModTime() || i.Size() != s.listed.Size()) {
+		s.listed = i
 		now.Listed = union(now.Listed, s.ids(), s.most)
 	}
 	s.seen = now
