--- a/balance/balance.go
+++ b/balance/balance.go
@@ -99,8 +99,10 @@
 				r.close(q)
 			}
 		case FirstByte:
-			if q := r.reqs[e.ID]; q != nil {
+			if q := r.reqs[e.ID]; q != nil && e.Attempt == len(q.tries)-1 && !q.tries[e.Attempt].begun {
 				q.dieAt = never
+				q.tries[e.Attempt].begin(now)
+				r.served(q, q.tries[e.Attempt].node, now-q.tries[e.Attempt].at)
 			}
 		}
 	}
@@ -623,7 +625,9 @@
 	cost := 1.0
 	switch e.Status {
 	case Done:
-		r.served(q, n, e.Took)
+		if !a.begun {
+			r.served(q, n, e.Took)
+		}
 	case Miss:
 		cost = 0
 		q.missed = append(q.missed, n)
--- a/balance/state.go
+++ b/balance/state.go
@@ -96,6 +96,14 @@
 	leg            int
 	ended, aborted bool
 	lost           bool // its connection is silent, the member is not
+	begun          bool // its answer is passed on as it comes
+}
+
+// begin notes that an answer is passed on as it comes. How long its peers take over the rest is no sign of the member's load
+// or health, and what it still gives must not be taken back: it is not among those that are out any more.
+func (a *attempt) begin(now Time) {
+	a.begun, a.node.progress = true, now
+	a.node.out = slices.DeleteFunc(a.node.out, func(b *attempt) bool { return a == b })
 }
 
 // renew forgets what was held against a member that operators let back in. It was restarted: it is cold, and what it still
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -62,6 +62,7 @@
 	now := f.loop.Now()
 	c := &Conn{front: f, sock: s, reader: pgwire.NewReader(f.lim.Message, f.lim.Startup), openAt: now, lastAt: now, tookAt: now}
 	c.speaker = f.speak(c)
+	s.Buffer(f.lim.Send)
 	f.conns[c] = struct{}{}
 	return c
 }
@@ -73,9 +74,11 @@
 	for c := range f.conns {
 		if why := c.overdue(now); why != "" {
 			c.fatal(pgwire.ProtocolViolation, why)
-		} else if unread += c.unsent; unread > f.lim.Buffered && c.unsent > 0 {
-			// Guards memory: many that read slowly are too much where each alone is not.
+		} else if unread += c.unsent; unread > f.lim.Buffered && c.unsent > 0 && c.flow == nil && c.request == "" {
+			// Guards memory: many that do not read their answers are too much where each alone is not.
 			c.fatal(pgwire.TooLarge, "too much is left unread")
+		} else if c.held > 0 {
+			c.count() // there may be room again
 		}
 	}
 	for c := range f.conns {
@@ -167,17 +170,19 @@
 	openAt  time.Duration // when it was accepted
 	lastAt  time.Duration // when a message was whole or an answer was written last
 	partAt  time.Duration // since when a part of a message waits, 0 = none does
+	moreAt  time.Duration // when anything came last
 	tookAt  time.Duration // when it had taken all that it was sent, or some of it
-	unsent  int           // what it had not taken then
+	took    int64         // bytes it had taken then
+	unsent  int           // what it has not taken
+	flow    router.Flow   // of the answer that is passed on as it comes, nil = none is
+	choked  bool          // it is not read until it has taken more
 }
 
 // overdue says what a client has failed to do in time.
 func (c *Conn) overdue(now time.Duration) string {
 	lim := c.front.lim
-	if n := c.sock.Unsent(); n == 0 || n < c.unsent {
-		c.tookAt, c.unsent = now, n
-	} else {
-		c.unsent = n
+	if c.unsent = c.sock.Unsent(); c.unsent == 0 || c.sock.Progress() > c.took {
+		c.tookAt, c.took = now, c.sock.Progress() // a client may take seconds over a long answer
 	}
 	switch {
 	case now-c.tookAt > lim.ClientUnread:
@@ -186,9 +191,9 @@
 		return ""
 	case !c.started && now-c.openAt > lim.ClientStart:
 		return "no startup message in time"
-	case c.started && !c.asked && now-c.openAt > lim.ClientFirst:
+	case c.started && !c.asked && c.partAt == 0 && now-c.openAt > lim.ClientFirst:
 		return "no command in time"
-	case c.partAt > 0 && now-c.partAt > lim.ClientPart:
+	case c.partAt > 0 && (now-max(c.partAt, c.moreAt) > lim.ClientPart || now-c.partAt > lim.ClientWhole):
 		return "a message does not end"
 	case c.started && !c.speaker.Idle() && now-c.lastAt > lim.ClientUnit:
 		return "a unit of work does not go on"
@@ -227,6 +232,10 @@
 	delete(f.conns, c)
 	f.buffered -= c.held + c.kept
 	c.held, c.kept = 0, 0
+	if c.flow != nil {
+		c.flow.Hold(false) // the rest of its answer is read all the same, and meets nobody
+		c.flow = nil
+	}
 	if c.request != "" {
 		f.core.Leave(c.request)
 		c.request = ""
@@ -247,27 +256,81 @@
 		return // it is closed once it has taken its last answer
 	}
 	c.cameAt = c.front.loop.Now()
+	c.moreAt = c.cameAt
 	c.reader.Feed(p)
 	c.read()
+	c.count()
+}
+
+// count enters what waits to be read, and stops the reading of what is too much. Guards memory against clients that send on
+// and on without waiting for answers, or without taking them, and against all together: they wait for room.
+func (c *Conn) count() {
 	f := c.front
-	if !c.ended {
-		f.buffered += c.reader.Waiting() - c.held
-		c.held = c.reader.Waiting()
-		// Guards memory against clients that send on and on without waiting for answers.
-		if c.held > 2*f.lim.Message || f.buffered > f.lim.Buffered {
-			c.fatal(pgwire.TooLarge, "too much sent ahead")
-		}
-		if c.request != "" || c.held == 0 {
-			c.partAt = 0
-		} else if c.partAt == 0 {
-			c.partAt = c.cameAt
-		}
+	if c.ended {
+		return
+	}
+	f.buffered += c.reader.Waiting() - c.held
+	c.held = c.reader.Waiting()
+	busy := c.request != "" || c.choked
+	if busy || c.held == 0 {
+		c.partAt = 0
+	} else if c.partAt == 0 {
+		c.partAt = c.cameAt
+	}
+	full := c.held > 0 && f.buffered > f.lim.Buffered
+	if full && c.partAt > 0 {
+		c.moreAt = f.loop.Now() // that nothing more comes is not its fault
+	}
+	c.sock.Hold(full || busy && c.held > f.lim.Ahead)
+}
+
+// Taken implements sock.Taker.
+func (c *Conn) Taken() {
+	if c.choked {
+		c.choked = false
+		c.cameAt = c.front.loop.Now()
+		c.read()
+		c.count()
+	}
+	if c.flow != nil {
+		c.flow.Hold(false)
+	}
+}
+
+// Stream begins an answer that is passed on as it comes.
+func (c *Conn) Stream(p []byte, f router.Flow) {
+	c.flow = f
+	c.Part(p)
+}
+
+// Part implements router.Client: it sends the next piece. What a client has not taken is bounded: beyond that its db
+// machine has to wait, and the loop does not.
+func (c *Conn) Part(p []byte) {
+	if c.ended {
+		return
+	}
+	if c.sock.Write(p) != nil {
+		c.End()
+	} else if c.flow != nil && c.sock.Unsent() > c.front.lim.High {
+		c.flow.Hold(true)
+		c.sock.Await(c.front.lim.Low)
 	}
 }
 
+// Cut implements router.Client: the answer will not become whole, and only the connection's end can say so within a row.
+func (c *Conn) Cut() {
+	c.flow, c.request = nil, ""
+	c.End()
+}
+
 // read works on what has come until a request is in hand.
 func (c *Conn) read() {
 	for !c.ended && c.request == "" {
+		if c.sock.Unsent() > c.front.lim.High {
+			c.choked = true
+			c.sock.Await(c.front.lim.Low)
+			return
+		}
 		m, ok, err := c.reader.Next()
 		if err != nil {
 			c.fatal(pgwire.ProtocolViolation, err.Error())
@@ -298,7 +361,9 @@
 
 func (c *Conn) fatal(code, text string) {
 	c.front.log.Debug("client turned away", "code", code, "why", text, "asked", c.asked)
-	c.Write(pgwire.AppendError(nil, pgwire.Error{Fatal: true, Code: code, Message: text}))
+	if c.flow == nil { // within a row its bytes would be taken for the value's
+		c.Write(pgwire.AppendError(nil, pgwire.Error{Fatal: true, Code: code, Message: text}))
+	}
 	c.End()
 }
 
@@ -365,14 +430,23 @@
 	return err
 }
 
+// errRoom is no fault of the client's: it may come again.
 var errRoom = errors.New("no room to keep the statement")
 
+// Unfit is the error of a request that Take has not taken.
+func Unfit(err error) pgwire.Error {
+	if err == errRoom {
+		return Refusal(100 * time.Millisecond)
+	}
+	return pgwire.Error{Code: pgwire.BadStatement, Message: err.Error()}
+}
+
 // Fault notes that what the client has sent is unfit: it is among the first to go when room is needed.
 func (c *Conn) Fault() { c.faulty = true }
 
 // Done ends the request in hand. next, if any, is called before what was sent behind the request is read.
 func (c *Conn) Done(next func() error) {
-	c.request = ""
+	c.request, c.flow = "", nil
 	c.Release(c.taken)
 	c.taken = 0
 	c.cameAt = c.front.loop.Now() // the time spent behind an earlier answer does not count
@@ -383,9 +457,7 @@
 		}
 	}
 	c.read()
-	if !c.ended && c.request == "" && c.reader.Waiting() > 0 {
-		c.partAt = c.front.loop.Now()
-	}
+	c.count()
 	c.rest()
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"encoding/binary"
 	"fmt"
 	"io"
 	"log/slog"
@@ -25,6 +26,8 @@
 	loop  *loop.Loop
 	taken atomic.Int32
 	left  chan string
+
+	source *source
 }
 
 func (k *core) Take(q router.Request, c router.Client) (string, error) {
@@ -43,11 +46,53 @@
 			c.Refused(1500 * time.Millisecond)
 		case "failed":
 			c.Failed("it may have run")
+		case "long", "cut":
+			k.source = &source{k: k, c: c, left: longest, cut: q.Class == "cut"}
+			c.Begun(&servers.Answer{Messages: pgwire.Append(nil, 'T', []byte{0, 0})}, k.source)
+			c.Part(binary.BigEndian.AppendUint32([]byte{'D'}, longest+4))
+			k.source.run()
 		}
 	})
 	return q.Label, nil
 }
 
+const longest = 6 << 20
+
+// source gives a long row as fast as it is let.
+type source struct {
+	k         *core
+	c         router.Client
+	left      int
+	held, cut bool
+	most      int
+}
+
+func (s *source) Hold(on bool) {
+	if s.held = on; !on {
+		s.k.loop.Post(s.run)
+	}
+}
+
+func (s *source) run() {
+	for !s.held && s.left > 0 {
+		n := min(s.left, 10_000)
+		s.left -= n
+		s.c.Part(make([]byte, n))
+		if c, ok := s.c.(*simple); ok {
+			s.most = max(s.most, c.sock.Unsent())
+		}
+		if s.cut && s.left < longest/2 {
+			s.left = 0
+			s.c.Cut()
+			return
+		}
+	}
+	if s.left == 0 && !s.held {
+		s.left = -1
+		s.c.Served(&servers.Answer{Messages: pgwire.Append(nil, 'C', []byte("SELECT 1\x00"))})
+	}
+}
+
 func (k *core) len() int { return int(k.taken.Load()) }
 
 func (k *core) Leave(id string) { k.left <- id }
@@ -271,7 +316,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	c.Send(large("served"))
-	if a := c.Until('Z'); a.Code != pgwire.BadStatement {
+	if a := c.Until('Z'); a.Code != pgwire.TooManyConnections || a.Detail == "" {
 		t.Fatalf("%+v", a)
 	}
 	held.Close()
@@ -282,6 +327,75 @@
 	}
 }
 
+// A client that takes a long answer slowly gets all of it, and little of it waits here; one that takes nothing is closed in
+// time, and one whose answer breaks off sees the end and no byte that is not the answer's.
+func TestLongAnswers(t *testing.T) {
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	lim.ClientUnread = 400 * time.Millisecond
+	for name, want := range map[string]int{"long": longest, "cut": longest / 2, "unread": 0} {
+		_, k, l, addr := startWith(t, lim)
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.(*net.TCPConn).SetReadBuffer(32 << 10)
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		class := strings.Replace(name, "unread", "long", 1)
+		c.Write(append(pgwire.AppendStartup(nil, "user", "x"), pgwire.AppendQuery(nil, sql(class))...))
+		if name == "unread" {
+			select {
+			case <-k.left:
+			case <-time.After(20 * time.Second):
+				t.Fatal("a client that reads nothing keeps its answer waiting")
+			}
+		}
+		var got []byte
+		for buf := make([]byte, 256<<10); err == nil && !strings.HasSuffix(string(got), "Z\x00\x00\x00\x05I") || len(got) < 1000; {
+			var n int
+			n, err = c.Read(buf)
+			got = append(got, buf[:n]...)
+			if name == "long" {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		row := got[strings.IndexByte(string(got), 'D'):]
+		if i := strings.Index(string(got), "T\x00\x00\x00\x06\x00\x00D"); i > 0 {
+			row = got[i+7+5:]
+		}
+		body := strings.TrimSuffix(string(row), "C\x00\x00\x00\x0dSELECT 1\x00Z\x00\x00\x00\x05I")
+		if name != "unread" && (len(body) < want-10_000 || len(body) > want+10_000) || strings.Trim(body, "\x00") != "" {
+			t.Errorf("%s: %d bytes of the row", name, len(body))
+		}
+		done := make(chan bool)
+		l.Post(func() {
+			if k.source.most > lim.High+20_000 {
+				t.Errorf("%s: %d bytes waited", name, k.source.most)
+			}
+			close(done)
+		})
+		<-done
+		c.Close()
+	}
+}
+
+// A slow head is waited for while it goes on.
+func TestSlowHead(t *testing.T) {
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	lim.ClientFirst, lim.ClientPart = 200*time.Millisecond, 200*time.Millisecond
+	_, _, _, addr := startWith(t, lim)
+	c := standin.Dial(t, addr)
+	p := pgwire.AppendQuery(nil, sql("served"))
+	for len(p) > 0 {
+		n := min(len(p), 7)
+		c.Send(p[:n])
+		p = p[n:]
+		time.Sleep(60 * time.Millisecond)
+	}
+	if a := c.Until('Z'); a.Types != "TDCZ" {
+		t.Fatalf("%+v", a)
+	}
+}
+
 // Whoever does not go on is told so and closed, however it has begun.
 func TestOverdue(t *testing.T) {
 	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
--- a/internal/clients/job.go
+++ b/internal/clients/job.go
@@ -36,6 +36,9 @@
 	return string(a.Types) == "TDC" && a.Shape.Columns == 1 && q.Fits(a.Shape.Tag)
 }
 
+// Begins implements servers.Job.
+func (q *Query) Begins(a *servers.Answer) bool { return string(a.Types) == "T" && a.Shape.Columns == 1 }
+
 // Fits says whether a command tag is one that the statement can have.
 func (q *Query) Fits(tag string) bool {
 	_, text, _ := strings.Cut(q.sql, "*/")
--- a/internal/clients/simple.go
+++ b/internal/clients/simple.go
@@ -63,7 +63,7 @@
 	}
 	if err != nil {
 		c.Fault()
-		c.Write(pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error{Code: pgwire.BadStatement, Message: err.Error()})))
+		c.Write(pgwire.AppendReady(pgwire.AppendError(nil, Unfit(err))))
 	}
 }
 
@@ -76,6 +76,9 @@
 // Served implements router.Client.
 func (c *simple) Served(a router.Answer) { c.answered(a.(*servers.Answer).Messages) }
 
+// Begun implements router.Client.
+func (c *simple) Begun(a router.Answer, f router.Flow) { c.Stream(a.(*servers.Answer).Messages, f) }
+
 // Refused implements router.Client.
 func (c *simple) Refused(after time.Duration) { c.answered(pgwire.AppendError(nil, Refusal(after))) }
 
--- a/internal/extended/extended.go
+++ b/internal/extended/extended.go
@@ -313,7 +313,7 @@
 func (s *session) take(q router.Request) {
 	if err := s.conn.Take(q, s); err != nil {
 		s.conn.Fault()
-		s.out = pgwire.AppendError(s.out, pgwire.Error{Code: pgwire.BadStatement, Message: err.Error()})
+		s.out = pgwire.AppendError(s.out, clients.Unfit(err))
 		s.settle(true)
 		s.after = nil // it is passed over, like all up to Sync
 	}
@@ -378,10 +378,30 @@
 	})
 }
 
+// Begun implements router.Client.
+func (s *session) Begun(a router.Answer, f router.Flow) {
+	s.append(a.(*servers.Answer))
+	p := s.out
+	s.out = nil
+	s.conn.Stream(p, f)
+}
+
+// Part implements router.Client.
+func (s *session) Part(p []byte) { s.conn.Part(p) }
+
+// Cut implements router.Client.
+func (s *session) Cut() { s.conn.Cut() }
+
 // Served implements router.Client.
 func (s *session) Served(a router.Answer) {
 	answer := a.(*servers.Answer)
 	w := s.running
+	s.append(answer)
+	s.ended(answer.Code != "" && w.stmt != nil)
+}
+
+// append adds what an answer says to the client.
+func (s *session) append(answer *servers.Answer) {
 	r := pgwire.NewReader(len(answer.Messages)+5, 0)
 	r.Feed(answer.Messages)
 	for {
@@ -394,7 +414,6 @@
 			s.out = pgwire.Append(s.out, m.Type, m.Body)
 		}
 	}
-	s.ended(answer.Code != "" && w.stmt != nil)
 }
 
 // Refused implements router.Client.
--- a/internal/extended/extended_test.go
+++ b/internal/extended/extended_test.go
@@ -462,3 +462,28 @@
 	}
 	t.Fatal("never used again")
 }
+
+// A long value passes here too, in each way to ask for it, and what stands around it stays in step.
+func TestLongValue(t *testing.T) {
+	value := strings.Repeat("v", 2<<20)
+	db := standin.NewDB(t, true, func(typ byte, id string) (a standin.Act) {
+		if (typ == 'S' || typ == 'Q') && id != "" {
+			a.Spoil = func(p []byte) []byte {
+				i := strings.IndexByte(string(p), 'C') // CommandComplete stands behind the row
+				j := strings.LastIndex(string(p[:i]), "D\x00\x00\x00")
+				out := append([]byte(nil), p[:j]...)
+				out = pgwire.Append(out, 'D', []byte{0, 1, 0, 32, 0, 0}, []byte(value))
+				return append(out, p[i:]...)
+			}
+		}
+		return a
+	})
+	w := start(t, db)
+	c := standin.Dial(t, w.addr)
+	for i, p := range [][]byte{both("r1", "look", 2500), pgwire.AppendQuery(nil, sql("r2", "look", 2500)), both("r3", "job", 2500)} {
+		c.Send(p)
+		if a := c.Until('Z'); a.Value != value || !strings.HasSuffix(a.Types, "TDCZ") {
+			t.Fatalf("%d: %s, %d bytes", i, a.Types, len(a.Value))
+		}
+	}
+}
--- a/internal/extended/job.go
+++ b/internal/extended/job.go
@@ -54,6 +54,15 @@
 	return rest == "C" || rest == "s" || rest == "I"
 }
 
+// Begins implements servers.Job.
+func (w *work) Begins(a *servers.Answer) bool {
+	want := "12"
+	if w.describe {
+		want = "12T"
+	}
+	return w.execute && strings.TrimRight(string(a.Types), "D") == want
+}
+
 // rows is a simple query that may give any number of rows, or none.
 type rows struct{ *clients.Query }
 
@@ -65,3 +74,6 @@
 	}
 	return rest == "C" && r.Fits(a.Shape.Tag)
 }
+
+// Begins implements servers.Job.
+func (r rows) Begins(a *servers.Answer) bool { return strings.TrimRight(string(a.Types), "D") == "T" }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -11,8 +11,15 @@
 
 	Startup  int // bytes of a startup message
 	Message  int // bytes of any other message
-	Answer   int // bytes of an answer of a db machine
-	Inbox    int // bytes of one connection that have come and are not looked at yet
+	Answer   int // bytes of an answer of a db machine that is kept whole
+	Row      int // bytes of a row of it that is passed on as it comes
+	Inbox    int // bytes of one connection that have come and are not looked at yet; beyond them it is not read
+	Stream   int // a row longer than this is passed on as it comes,
+	Begin    int // once so much of it has come
+	High     int // a client that has so much to take gets no more, and is not read either,
+	Low      int // until no more than this is left
+	Send     int // bytes that the system keeps of what a client has not taken
+	Ahead    int // bytes that a client may send ahead while its request is in hand
 	Buffered int // bytes of statements that all clients together may have waiting, prepared or in hand, and of answers
 
 	Clients int // connections of clients
@@ -41,14 +48,16 @@
 	Redial       time.Duration // after this a connection that has not come up is dialled once more
 	Probe        time.Duration // until a probe is answered
 	Rest         time.Duration // a connection to a db machine carries nothing for this long behind an answer
-	Stall        time.Duration // until a message of a db machine that has begun to come goes on
+	Stall        time.Duration // until a message of a db machine that has begun to come goes on,
+	StreamStall  time.Duration // and until an answer does that is passed on already
 	Idle         time.Duration // an idle connection older than this is not used
 	AnswerBefore time.Duration // the final answer comes this long before the client gives up
-	Flush        time.Duration // a connection that is to be closed may take this long to take its last answer
+	Flush        time.Duration // until a connection that is to be closed takes more of its last answer
 	ComeAgain    time.Duration // a refusal for which the decision module gives no time says this
 	ClientStart  time.Duration // until a client has sent its startup message
 	ClientFirst  time.Duration // from then until its first command
-	ClientPart   time.Duration // until a message that has begun to come is whole
+	ClientPart   time.Duration // until more comes of a message that has begun to,
+	ClientWhole  time.Duration // and until it is whole
 	ClientUnit   time.Duration // until a unit of work that has begun goes on
 	ClientUnread time.Duration // until a client has taken something of what it is sent
 	ClientSilent time.Duration // one that has not started, or made a fault last, may be closed to make room after this,
@@ -82,6 +91,8 @@
 	free := sockets - 32 - operators
 	// Values of several hundred KB come, in answers and in statements.
 	most := min(1<<20, memoryMB<<20/64)
+	// Values have up to 4 MiB. They are more than memory holds at once, so those beyond Stream are not kept.
+	const row = 4<<20 + 64<<10
 	return Limits{
 		Memory: int64(memoryMB) << 20 * 3 / 5, // the rest is for what the collector does not see, and for its being late
 
@@ -89,16 +100,18 @@
 		// every few of them, on a part of a core.
 		Garbage: 400,
 
-		Startup: 10_000, Message: most, Answer: most, Inbox: most + 64<<10, Buffered: memoryMB << 20 / 8,
+		Startup: 10_000, Message: most, Answer: most, Row: row, Inbox: 64 << 10,
+		Stream: 64 << 10, Begin: 32 << 10, High: 128 << 10, Low: 32 << 10, Send: 64 << 10, Ahead: 64 << 10, Buffered: memoryMB << 20 / 8,
 		Operators: operators, CallBytes: 16 << 10,
-		Clients: free * 7 / 10, ClientsEasy: sockets / 8, ClientsTight: sockets / 5, Unread: most + 64<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
+		Clients: free * 7 / 10, ClientsEasy: sockets / 8, ClientsTight: sockets / 5, Unread: most + 256<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Listed: 10_000, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
 
-		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Rest: 2 * time.Millisecond, Stall: connect, Idle: idle * 3 / 4,
-		AnswerBefore: 10 * time.Millisecond, Flush: 500 * time.Millisecond, ComeAgain: time.Second,
+		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Rest: 2 * time.Millisecond, Stall: connect, StreamStall: 10 * time.Second, Idle: idle * 3 / 4,
+		AnswerBefore: 10 * time.Millisecond, Flush: 2 * time.Second, ComeAgain: time.Second,
 		// A client that can't be served is owed an error or a close within 3 s of connecting.
-		ClientStart: 1500 * time.Millisecond, ClientFirst: 2100 * time.Millisecond, ClientPart: 1500 * time.Millisecond,
+		// A head may take 2 s.
+		ClientStart: 2300 * time.Millisecond, ClientFirst: 2100 * time.Millisecond, ClientPart: 2300 * time.Millisecond, ClientWhole: 15 * time.Second,
 		ClientUnit: 10 * time.Second, ClientUnread: 5 * time.Second,
 		ClientSilent: 100 * time.Millisecond, ClientTight: 100 * time.Millisecond, ClientMute: 500 * time.Millisecond,
 		ClientIdle: 2 * time.Second, ClientSweep: 50 * time.Millisecond,
--- a/internal/pgwire/answer.go
+++ b/internal/pgwire/answer.go
@@ -35,11 +35,9 @@
 		s.Columns = n
 	case 'D':
 		n := int(d.uint16())
-		if s.Columns >= 0 && s.Columns != n || s.Tag != "" {
+		if !s.Row(n) {
 			return ErrFormat
 		}
-		s.Columns = n
-		s.Rows++
 		for i := 0; i < n && !d.bad; i++ {
 			d.value()
 		}
@@ -66,6 +64,16 @@
 	return d.end()
 }
 
+// Row takes a row of which only the number of columns is told, and says whether it fits those before it.
+func (s *Shape) Row(columns int) bool {
+	if s.Columns >= 0 && s.Columns != columns || s.Tag != "" {
+		return false
+	}
+	s.Columns = columns
+	s.Rows++
+	return true
+}
+
 // fits says whether tag is one such as SELECT 1, INSERT 0 1 or SHOW, and counts the rows that have come.
 func (s *Shape) fits(tag string) bool {
 	words := strings.Split(tag, " ")
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -176,3 +176,25 @@
 		}
 	})
 }
+
+// A row that is followed as it comes is judged as a whole one is, wherever it is cut.
+func FuzzRowStream(f *testing.F) {
+	f.Add([]byte("\x00\x01\x00\x00\x00\x01v"), uint8(1))
+	f.Add([]byte("\x00\x03\xff\xff\xff\xff\x00\x00\x00\x00\x00\x00\x00\x02xy"), uint8(3))
+	f.Add([]byte("\x00\x01\x00\x00\x00\x05v"), uint8(9))
+	f.Add([]byte("\x00\x00v"), uint8(1))
+	f.Fuzz(func(t *testing.T, body []byte, step uint8) {
+		whole := NewShape()
+		err := whole.Add(Message{Type: 'D', Body: body})
+		s := NewRowStream(len(body))
+		var cut error
+		for p := body; len(p) > 0 && cut == nil; {
+			n := min(len(p), 1+int(step))
+			cut = s.Feed(p[:n])
+			p = p[n:]
+		}
+		if len(body) > 0 && (err == nil) != (cut == nil) || cut == nil && len(body) > 0 && (s.Left != 0 || s.Columns != whole.Columns) {
+			t.Fatalf("whole %v, in pieces %v: %+v", err, cut, s)
+		}
+	})
+}
--- a/internal/pgwire/reader.go
+++ b/internal/pgwire/reader.go
@@ -80,6 +80,25 @@
 	return m, true, nil
 }
 
+// Begun tells of the message that has begun to come but is not whole: its type, the length of its body, and what of that
+// is there. ok is false when there is none, or less than its length has come.
+func (r *Reader) Begun() (typ byte, length int, have []byte, ok bool) {
+	p := r.buf[r.start:]
+	if r.startup > 0 || len(p) < 5 || r.want == 0 {
+		return 0, 0, nil, false
+	}
+	return p[0], r.want - 5, p[5:], true
+}
+
+// Cut takes the next bytes as they are, whatever they belong to; it is for a message that is passed on as it comes. They
+// are valid until the next Feed.
+func (r *Reader) Cut(n int) []byte {
+	p := r.buf[r.start : r.start+n : r.start+n]
+	r.start += n
+	r.want = 0
+	return p
+}
+
 // Started says that the untyped message has come; another follows after SSLRequest and GSSENCRequest.
 func (r *Reader) Started() { r.startup = 0 }
 
--- a/internal/router/book.go
+++ b/internal/router/book.go
@@ -25,6 +25,8 @@
 	}
 	if res.Status == balance.Done {
 		r.serve(q, res.Answer)
+	} else if q.began {
+		r.cut(q)
 	}
 	r.outcome(q, leg, q.node, res, r.loop.Now()-q.sentAt)
 	r.forget(q)
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"limeladder/balance"
+)
 
 // The final answers. Each request gets one of them, once.
 
@@ -14,6 +18,31 @@
 	r.forget(q)
 }
 
+// begin passes on an answer that has begun to come. From here on no time of the request's own ends it, and no other attempt
+// takes its place: what the db machine still gives must not be cut off.
+func (r *Router) begin(q *request, leg int, a Answer, f Flow) {
+	q.began = true
+	q.timer.Stop()
+	q.timer = nil
+	r.pending = append(r.pending, balance.FirstByte{ID: q.id, Attempt: leg})
+	if !q.over {
+		q.client.Begun(a, f)
+	}
+}
+
+// cut ends a request whose answer was passed on and will not become whole.
+func (r *Router) cut(q *request) {
+	if q.over {
+		return
+	}
+	r.end(q)
+	r.count.Failed++
+	r.log.Debug("cut", "request", q.Label, "class", q.Class, "after", r.loop.Now()-q.At)
+	r.events.Event("failed", "request", q.Label, "class", q.Class, "why", "its answer broke off")
+	q.client.Cut()
+	r.forget(q)
+}
+
 func (r *Router) refuse(q *request, after time.Duration) {
 	if q.over {
 		return
--- a/internal/router/route.go
+++ b/internal/router/route.go
@@ -41,7 +41,7 @@
 			r.fail(q, "the request may have run")
 		}
 	case balance.Cancel:
-		if q := r.inHand[a.ID]; q != nil && q.tries-1 == a.Attempt {
+		if q := r.inHand[a.ID]; q != nil && q.tries-1 == a.Attempt && !q.began {
 			r.cancel(q, balance.Cancelled)
 		}
 	case balance.Probe:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,13 +17,25 @@
 // Answer is what a db machine said to a job. Only the front and the servers look inside.
 type Answer any
 
-// Client is the front's side of one request; exactly one of its methods is called, once.
+// Client is the front's side of one request; exactly one of Served, Refused, Failed and Cut is called, once.
 type Client interface {
+	// Begun says that a long answer is passed on as it comes: this is what stands before its long row. Part brings the
+	// row, piece by piece, and Served what stands behind it.
+	Begun(a Answer, f Flow)
+	Part(p []byte)
+	Cut() // what was passed on is not whole, and the client has to see that
+
 	Served(Answer)
 	Refused(after time.Duration) // a repeat does no harm: come again after this
 	Failed(why string)           // nothing is promised
 }
 
+// Flow is the source of an answer that is passed on as it comes.
+type Flow interface {
+	// Hold stops it, or lets it go on.
+	Hold(on bool)
+}
+
 // Request is what a front has taken.
 type Request struct {
 	Label    string // the client's own name for it, for the log
@@ -43,6 +55,9 @@
 	Job   Job
 	Until time.Duration // the router stops waiting then
 	By    time.Duration // not to be written later than this, 0 = no such limit
+
+	Begun func(Answer, Flow) // a long answer begins to come: what stands before its long row
+	Part  func(p []byte)     // the next piece of it
 }
 
 // Result ends an attempt or a probe.
@@ -105,6 +120,7 @@
 	call   Call // the attempt that is out
 	node   string
 	sentAt time.Duration
+	began  bool // its answer is passed on as it comes
 	over   bool // answered, or its client has left
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -51,11 +51,15 @@
 // owed counts the answers to one request.
 type owed struct {
 	served, refused, failed int
+	begun, parts, cut       int
 	after                   time.Duration
 	at                      time.Duration
 	l                       *loop.Loop
 }
 
+func (o *owed) Begun(Answer, Flow)          { o.begun++ }
+func (o *owed) Part(p []byte)               { o.parts += len(p) }
+func (o *owed) Cut()                        { o.cut++ }
 func (o *owed) Served(Answer)               { o.served++; o.at = o.l.Now() }
 func (o *owed) Refused(after time.Duration) { o.refused++; o.after = after; o.at = o.l.Now() }
 func (o *owed) Failed(string)               { o.failed++; o.at = o.l.Now() }
@@ -113,6 +117,30 @@
 	}
 }
 
+// Once an answer is passed on neither the end of the client's time nor the module ends it; if it breaks off the client is
+// told by Cut, once, and nothing is sent again.
+func TestLongAnswer(t *testing.T) {
+	for _, end := range []balance.Status{balance.Done, balance.Reset, balance.Error} {
+		r, p, l := start(t)
+		o := &owed{l: l}
+		play(r, l, 400*time.Millisecond, func() {
+			r.Take(Request{Class: "look", Deadline: 120 * time.Millisecond, At: l.Now(), Job: 1}, o)
+			l.After(20*time.Millisecond, func() {
+				p.calls[0].a.Begun(nil, nil)
+				p.calls[0].a.Part(make([]byte, 7))
+				r.act(balance.Cancel{ID: "1", Attempt: 0})
+			})
+			l.After(300*time.Millisecond, func() {
+				p.calls[0].a.Part(make([]byte, 7))
+				p.calls[0].end(end)
+			})
+		})
+		if done := end == balance.Done; o.begun != 1 || o.parts != 14 || o.total()+o.cut != 1 || done != (o.served == 1) || len(p.calls) != 1 || r.InHand() != 0 {
+			t.Errorf("%v: %+v, %d attempts, %d in hand", end, o, len(p.calls), r.InHand())
+		}
+	}
+}
+
 func TestWhatWasNeverWrittenIsRefused(t *testing.T) {
 	r, p, l := start(t)
 	p.written = false
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -14,7 +14,13 @@
 	}
 	q.node, q.sentAt = a.Node, r.loop.Now()
 	ended := false // the servers may report the end before Start returns
-	call := r.servers.Start(Attempt{Node: a.Node, Job: q.Job, Until: q.dieAt, By: a.By}, func(res Result) {
+	call := r.servers.Start(Attempt{Node: a.Node, Job: q.Job, Until: q.dieAt, By: a.By, Begun: func(a Answer, f Flow) {
+		r.begin(q, leg, a, f)
+	}, Part: func(p []byte) {
+		if !q.over {
+			q.client.Part(p)
+		}
+	}}, func(res Result) {
 		ended = true
 		q.call = nil
 		r.book(q, leg, res)
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -29,6 +29,9 @@
 
 	// of the answer that is coming in
 	answer *Answer
+	begun  bool              // it is passed on as it comes
+	row    *pgwire.RowStream // the row that is being passed on, nil = none is
+	held   bool              // the client takes no more for now
 	code   string
 	bad    bool // it is spoilt
 	role   balance.Role
@@ -38,7 +41,7 @@
 // dial opens a connection for whoever waits first.
 func (m *machine) dial() {
 	p := m.pool
-	k := &conn{machine: m, reader: pgwire.NewReader(p.lim.Answer, 0)}
+	k := &conn{machine: m, reader: pgwire.NewReader(p.lim.Row, 0)}
 	m.open++
 	m.opening++
 	p.open++
@@ -131,23 +134,90 @@
 	k.reader.Feed(p)
 	k.stall.Stop()
 	for !k.ended {
+		if k.row != nil && !k.pass() {
+			break
+		}
 		m, ok, err := k.reader.Next()
 		if err != nil {
 			k.spoilt(err.Error())
 			return
 		}
 		if !ok {
+			if k.begin() {
+				continue
+			}
 			break
 		}
 		k.message(m)
 	}
-	// Guards against lengths that do not fit: the rest of such a message never comes.
-	if !k.ended && (k.reader.Waiting() > 0 || k.call != nil && k.closing()) {
-		lim := &k.machine.pool.lim
-		k.stall = k.machine.pool.loop.After(lim.Stall, func() { k.spoilt("it stops within an answer") })
+	k.watch()
+}
+
+// watch looks for the rest of what has begun to come. Guards against lengths that do not fit: the rest of such a message
+// never comes.
+func (k *conn) watch() {
+	lim := &k.machine.pool.lim
+	within := lim.Stall
+	if k.begun {
+		within = lim.StreamStall // a slow db machine still gives it
+	}
+	k.stall.Stop()
+	if !k.ended && !k.held && (k.reader.Waiting() > 0 || k.call != nil && (k.begun || k.closing())) {
+		k.stall = k.machine.pool.loop.After(within, func() { k.spoilt("it stops within an answer") })
 	}
 }
 
+// begin passes an answer on that is too long to be kept, once enough of it has come and its lengths fit so far. Before that
+// an attempt that fails can be made again.
+func (k *conn) begin() bool {
+	lim := &k.machine.pool.lim
+	typ, length, have, ok := k.reader.Begun()
+	if ok && length > lim.Answer && (typ != 'D' || !k.begun && (k.call == nil || k.call.begun == nil || !k.call.job.Begins(k.answer))) {
+		k.spoilt("a message too long to keep") // and it can't be passed on either
+		return false
+	}
+	if !ok || typ != 'D' || length <= lim.Stream || len(have) < lim.Begin || k.call == nil || k.call.begun == nil || k.code != "" ||
+		!k.begun && !k.call.job.Begins(k.answer) {
+		return false
+	}
+	if err := pgwire.NewRowStream(length).Feed(have); err != nil {
+		k.spoilt("long row: " + err.Error())
+		return false
+	}
+	if !k.begun {
+		k.begun = true
+		k.call.begun(k.answer, k.call)
+		k.answer.Messages = nil
+	}
+	k.row = pgwire.NewRowStream(length)
+	k.call.part(k.reader.Cut(5))
+	return true
+}
+
+// pass hands on what has come of a long row, and says whether that was its end.
+func (k *conn) pass() bool {
+	p := k.reader.Cut(min(k.row.Left, k.reader.Waiting()))
+	if len(p) == 0 {
+		return false
+	}
+	if err := k.row.Feed(p); err != nil {
+		k.spoilt("long row: " + err.Error())
+		return false
+	}
+	k.call.part(p)
+	if k.row.Left > 0 {
+		return false
+	}
+	columns := k.row.Columns
+	k.row = nil
+	k.answer.Types = append(k.answer.Types, 'D')
+	if !k.answer.Shape.Row(columns) {
+		k.spoilt("long row: it does not fit those before it")
+		return false
+	}
+	return true
+}
+
 // closing says whether only ReadyForQuery is missing.
 func (k *conn) closing() bool { return k.code != "" || k.answer.Shape.Tag != "" }
 
@@ -203,6 +273,7 @@
 	case 'Z':
 		c := k.call
 		r := k.result()
+		c.Hold(false) // the last of a long answer may have come while its client took no more
 		k.call, c.conn = nil, nil
 		if len(m.Body) != 1 || m.Body[0] != 'I' || k.reader.Waiting() > 0 {
 			k.end() // an open transaction or bytes that belong to no request: not to be used again
@@ -224,7 +295,11 @@
 		k.spoilt(fmt.Sprintf("%c: %v", m.Type, err))
 		return
 	}
-	k.answer.Messages = pgwire.Append(k.answer.Messages, m.Type, m.Body)
+	if k.begun && m.Type == 'D' {
+		k.call.part(pgwire.Append(nil, m.Type, m.Body))
+	} else {
+		k.answer.Messages = pgwire.Append(k.answer.Messages, m.Type, m.Body)
+	}
 	k.answer.Types = append(k.answer.Types, m.Type)
 }
 
@@ -337,6 +412,7 @@
 		return false
 	}
 	k.answer, k.code, k.role, k.pos = &Answer{Shape: pgwire.NewShape()}, "", balance.RoleUnknown, 0
+	k.begun, k.row = false, nil
 	if err := k.sock.Write(c.job.Messages(c.until - now)); err != nil {
 		// Nothing was written whole, so the call may go out on another connection.
 		k.end()
--- a/internal/servers/probe.go
+++ b/internal/servers/probe.go
@@ -17,6 +17,9 @@
 
 func (probe) Whole(a *Answer) bool { return string(a.Types) == "TDC" && a.Shape.Columns == 1 }
 
+// Begins implements Job: no report is long.
+func (probe) Begins(*Answer) bool { return false }
+
 // report reads role and position from a report such as x0=1767225600.123,x1=0,util=0.61. Of one that can't be read to
 // its end nothing is believed.
 func report(a *Answer) (role balance.Role, pos time.Duration) {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -20,6 +20,8 @@
 	Messages(left time.Duration) []byte
 	// Whole says whether an answer is complete and one to this job. Each of its messages has its type's form.
 	Whole(a *Answer) bool
+	// Begins says whether a may be the start of such an answer, with a long row to follow.
+	Begins(a *Answer) bool
 }
 
 // Answer is what came back before ReadyForQuery, as it came, without what concerns the connection only.
@@ -164,7 +166,7 @@
 
 // Start implements router.Servers.
 func (p *Pool) Start(a router.Attempt, done func(router.Result)) router.Call {
-	c := &call{pool: p, job: a.Job.(Job), until: a.Until, by: a.By, done: done}
+	c := &call{pool: p, job: a.Job.(Job), until: a.Until, by: a.By, begun: a.Begun, part: a.Part, done: done}
 	p.start(a.Node, c)
 	return c
 }
@@ -241,6 +243,8 @@
 	job     Job
 	until   time.Duration
 	by      time.Duration
+	begun   func(router.Answer, router.Flow) // nil = its answer is kept whole
+	part    func(p []byte)
 	done    func(router.Result)
 
 	conn            *conn // once its messages are written
@@ -284,6 +288,15 @@
 	return false
 }
 
+// Hold implements router.Flow.
+func (c *call) Hold(on bool) {
+	if c.conn != nil {
+		c.conn.sock.Hold(on)
+		c.conn.held = on
+		c.conn.watch()
+	}
+}
+
 func (m *machine) drop(c *call) {
 	for i, w := range m.waiting {
 		if w == c {
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -26,7 +26,8 @@
 func (j job) Messages(left time.Duration) []byte {
 	return pgwire.AppendQuery(nil, fmt.Sprintf("/* id=%s,c=job,d=%d,cluster=1 */ INSERT", string(j), left.Milliseconds()))
 }
-func (job) Whole(a *Answer) bool { return string(a.Types) == "TDC" && a.Shape.Columns == 1 }
+func (job) Begins(a *Answer) bool { return string(a.Types) == "T" }
+func (job) Whole(a *Answer) bool  { return string(a.Types) == "TDC" && a.Shape.Columns == 1 }
 
 type rig struct {
 	t    *testing.T
@@ -36,7 +37,7 @@
 
 func start(t *testing.T, lim limits.Limits, addr string) *rig {
 	l := loop.New()
-	e, err := sock.New(l, 256, 1<<20)
+	e, err := sock.New(l, 256, lim.Inbox)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -156,6 +157,87 @@
 	}
 }
 
+// long is an answer with a value of n bytes; its declared length is off by some.
+func long(n, off int) []byte {
+	p := pgwire.Append(nil, 'T', []byte("\x00\x01data\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x11\xff\xff\xff\xff\xff\xff\x00\x01"))
+	v := make([]byte, n)
+	for i := range v {
+		v[i] = byte(i % 251)
+	}
+	p = pgwire.Append(p, 'D', binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(n+off)), v)
+	return pgwire.AppendReady(pgwire.Append(p, 'C', []byte("INSERT 0 1\x00")))
+}
+
+// An answer of megabytes is passed on as it comes, to the byte, and stops while its taker holds it; one that is cut or
+// spoilt has failed, and the connection goes; one that is spoilt at its start, or too long, is not passed on at all.
+func TestLongAnswers(t *testing.T) {
+	const n = 3 << 20
+	for name, c := range map[string]struct {
+		answer []byte
+		cut    int
+		want   balance.Status
+		begun  bool
+	}{
+		"whole":     {long(n, 0), 0, balance.Done, true},
+		"cut":       {long(n, 0), n / 2, balance.Reset, true},
+		"spoilt":    {append(long(n, 0)[:n], 0xff), 0, balance.Error, true},
+		"too short": {long(n, 5), 0, balance.Error, false},
+		"too long":  {long(5<<20, 0), 0, balance.Error, false},
+		"kept":      {long(50_000, 0), 0, balance.Done, false},
+	} {
+		db := standin.NewDB(t, true, func(typ byte, id string) (a standin.Act) {
+			if typ == 'Q' && id == "a" {
+				a.Spoil = func([]byte) []byte { return c.answer }
+				if c.cut > 0 {
+					a.Spoil = func([]byte) []byte { return c.answer[:c.cut] }
+					a.Leave = true
+				}
+			}
+			return a
+		})
+		l := lim()
+		l.StreamStall = 300 * time.Millisecond
+		r := start(t, l, db.Addr)
+		var got []byte
+		begun, held := false, false
+		done := make(chan router.Result, 9)
+		r.loop.Post(func() {
+			var flow router.Flow
+			a := router.Attempt{Node: "n", Job: job("a"), Until: r.loop.Now() + 10*time.Second, Begun: func(a router.Answer, f router.Flow) {
+				begun, flow = true, f
+				got = append(got, a.(*Answer).Messages...)
+			}}
+			a.Part = func(p []byte) {
+				got = append(got, p...)
+				if !held && len(got) > 1<<20 {
+					held = true
+					flow.Hold(true)
+					r.loop.After(2*l.StreamStall, func() { // being held is no stall
+						if len(got) > 1<<20+256<<10 {
+							t.Errorf("%s: %d bytes came while it was held", name, len(got))
+						}
+						flow.Hold(false)
+					})
+				}
+			}
+			r.pool.Start(a, func(x router.Result) { done <- x })
+		})
+		x := r.end(done)
+		if x.Status != c.want || begun != c.begun {
+			t.Errorf("%s: %v, begun %v", name, x.Status, begun)
+		}
+		if x.Status == balance.Done {
+			got = append(got, x.Answer.(*Answer).Messages...)
+			if want := c.answer[:len(c.answer)-6]; !bytes.Equal(got, want) {
+				t.Errorf("%s: %d bytes, not %d", name, len(got), len(want))
+			}
+		}
+		if x = r.try("b", 0); c.begun && c.want == balance.Done && x.Status != balance.Done {
+			t.Errorf("%s: then %+v", name, x.Status)
+		}
+	}
+}
+
 // A send that a slow connection has held up past the age its data may have is not made.
 func TestTooLateToSend(t *testing.T) {
 	db := standin.NewDB(t, true, func(typ byte, _ string) standin.Act {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -3,6 +3,7 @@
 package sock
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 
 	"limeladder/internal/loop"
 )
@@ -26,37 +28,46 @@
 	Closed(err error)
 }
 
+// Taker is a Handler that is told when its peer has taken most of what was written.
+type Taker interface{ Taken() }
+
 // Engine owns the poller.
 type Engine struct {
 	loop      *loop.Loop
 	nb        *nbio.Engine
-	finishing int // connections that are to close once their last bytes are taken; owned by the loop
+	inbox     int
+	finishing int    // connections that are to close once their last bytes are taken; owned by the loop
+	buf       []byte // the loop's own, to read on
 }
 
 // Finishing is the number of connections that are to close once their last bytes are taken.
 func (e *Engine) Finishing() int { return e.finishing }
 
 // New starts the poller. maxFiles bounds the descriptors it has room for, inbox the bytes of one connection that may
-// wait for the loop.
+// wait for the loop: beyond them it is not read until the loop has looked at them.
 func New(l *loop.Loop, maxFiles, inbox int) (*Engine, error) {
 	logging.SetLevel(logging.LevelNone)
 	// nbio keeps a table of this many entries; its default follows the hard limit and may take 16 MB.
 	if nbio.MaxOpenFiles > maxFiles+64 {
 		nbio.MaxOpenFiles = maxFiles + 64
 	}
-	e := &Engine{loop: l, nb: nbio.NewEngine(nbio.Config{
+	// Edge-triggered, with reads of our own: nbio cannot leave a connection unread, and at the level its poller would
+	// spin on one that is.
+	e := &Engine{loop: l, inbox: inbox, buf: make([]byte, readSize), nb: nbio.NewEngine(nbio.Config{
 		NPoller:            1,
-		ReadBufferSize:     32 << 10,
-		MaxWriteBufferSize: 4 << 20, // what a peer may leave unread is bounded by its owner
+		ReadBufferSize:     1 << 10, // not used
+		MaxWriteBufferSize: 8 << 20, // what a peer may leave unread is bounded by its owner
+		EpollMod:           nbio.EPOLLET,
 	})}
-	e.nb.OnData(func(c *nbio.Conn, data []byte) {
+	poller := make([]byte, readSize)
+	e.nb.OnRead(func(c *nbio.Conn) {
 		if k, ok := c.Session().(*Conn); ok {
-			k.receive(c, data, inbox)
+			k.read(poller)
 		}
 	})
 	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
 		if k, ok := c.Session().(*Conn); ok {
-			k.sent.Add(int64(n))
+			k.took(int64(n))
 		}
 	})
 	e.nb.OnClose(func(c *nbio.Conn, err error) {
@@ -81,67 +92,153 @@
 	e.nb.Shutdown(ctx)
 }
 
+const readSize = 32 << 10
+
 // Conn is one connection. Its methods belong to the loop's goroutine.
 type Conn struct {
 	engine *Engine
 	nb     *nbio.Conn
 	h      Handler
 	closed bool
-	queued int64        // bytes handed to Write
+	queued atomic.Int64 // bytes handed to Write
 	sent   atomic.Int64 // bytes that the system has taken
 
 	release func()       // gives back the listener's place, nil = it has none
 	post    func(func()) // how what happens on it enters the loop
 
+	low     atomic.Int64 // Taken is told once no more than this is left to take, less 1; 0 = it is not
+	reading sync.Mutex   // held by whoever reads the socket: the poller, or the loop that reads on
+	held    bool         // the loop wants nothing more for now
+	lost    error        // the connection ended while held
+
 	mu     sync.Mutex
 	in     []byte // what has come and the loop has not looked at
+	full   bool   // and more may be there
 	posted bool   // the loop is told of it
 }
 
-// receive keeps what has come for the loop; the poller's goroutine calls it. Guards memory against a peer that sends
-// faster than the loop reads: it is closed, nothing that is served sends so much ahead.
-func (c *Conn) receive(nb *nbio.Conn, p []byte, most int) {
-	c.mu.Lock()
-	full := len(c.in)+len(p) > most
-	if !full {
-		c.in = append(c.in, p...) // the poller reads into the same buffer again
-	}
-	post := !c.posted && !full
-	c.posted = c.posted || post
-	c.mu.Unlock()
-	if full {
-		nb.CloseWithError(errFlood)
-	} else if post {
-		c.post(c.data)
+// read keeps what has come for the loop. Guards memory against a peer that sends faster than the loop looks at it: beyond
+// the inbox the socket is left alone until data reads on, and the peer finds its window closed.
+func (c *Conn) read(buf []byte) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	for {
+		c.mu.Lock()
+		full := len(c.in) >= c.engine.inbox
+		c.full = full
+		c.mu.Unlock()
+		// The poller closes a connection as soon as its peer has ended it. What was sent before must not be lost.
+		if full && !c.ending() {
+			return
+		}
+		n, err := c.nb.Read(buf)
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		if err != nil && !errors.Is(err, syscall.EAGAIN) {
+			c.nb.CloseWithError(err)
+		}
+		if n <= 0 || err != nil {
+			return
+		}
+		c.mu.Lock()
+		c.in = append(c.in, buf[:n]...)
+		post := !c.posted
+		c.posted = true
+		c.mu.Unlock()
+		if post {
+			c.post(c.data)
+		}
+		if n < len(buf) {
+			return // what comes from now on is told
+		}
 	}
 }
 
-var errFlood = errors.New("too much sent at once")
+// ending says whether the peer has ended the connection.
+func (c *Conn) ending() bool {
+	p := []unix.PollFd{{Fd: int32(c.nb.Hash()), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(p, 0)
+	return err == nil && n > 0
+}
 
 func (c *Conn) data() {
 	c.mu.Lock()
-	p := c.in
-	c.in, c.posted = nil, false
+	if c.held {
+		c.posted = false
+		c.mu.Unlock()
+		return
+	}
+	p, full := c.in, c.full
+	c.in, c.posted, c.full = nil, false, false
 	c.mu.Unlock()
-	if !c.closed {
+	if !c.closed && len(p) > 0 {
 		c.h.Data(p)
 	}
+	if full && !c.closed {
+		c.read(c.engine.buf)
+	}
 }
 
 func (c *Conn) gone(err error) {
-	if !c.closed {
+	if c.held {
+		c.lost = cmp.Or(err, net.ErrClosed)
+	} else if !c.closed {
 		c.closed = true
 		c.h.Closed(err)
 	}
 }
 
+// Buffer bounds what the system keeps of what was written and not taken. Guards the sight of progress: behind megabytes of
+// them a slow peer would seem to take nothing for seconds.
+func (c *Conn) Buffer(n int) { c.nb.SetWriteBuffer(n) }
+
+// Hold stops the reading of the connection, or goes on with it. What has come before its end is still told.
+func (c *Conn) Hold(on bool) {
+	if c.closed || c.held == on {
+		return
+	}
+	c.mu.Lock()
+	c.held = on
+	post := !on && !c.posted
+	c.posted = c.posted || post
+	c.mu.Unlock()
+	if post {
+		c.post(c.data)
+	}
+	if !on && c.lost != nil {
+		c.post(func() { c.gone(c.lost) })
+	}
+}
+
+// took notes that the system has taken n bytes; the poller's goroutine calls it, or the loop's.
+func (c *Conn) took(n int64) {
+	sent := c.sent.Add(n)
+	if low := c.low.Load(); low > 0 && c.queued.Load()-sent < low && c.low.CompareAndSwap(low, 0) {
+		c.post(func() {
+			if h, ok := c.h.(Taker); ok && !c.closed {
+				h.Taken()
+			}
+		})
+	}
+}
+
+// Await asks for Taken once no more than low bytes are left to take.
+func (c *Conn) Await(low int) {
+	c.low.Store(int64(low) + 1)
+	c.took(0)
+}
+
+// Progress is the number of bytes the system has taken so far.
+func (c *Conn) Progress() int64 { return c.sent.Load() }
+
 // Write sends p, or keeps it until the peer takes it. An error says that the connection is broken; the handler
 // is told nothing more.
 func (c *Conn) Write(p []byte) error {
 	if c.closed {
 		return net.ErrClosed
 	}
-	c.queued += int64(len(p))
+	c.queued.Add(int64(len(p)))
 	if _, err := c.nb.Write(p); err != nil {
 		c.closed = true
 		return err
@@ -158,7 +255,7 @@
 }
 
 // Flushed says whether the system has taken all that was written. Once the connection is closed it does not change.
-func (c *Conn) Flushed() bool { return c.sent.Load() == c.queued }
+func (c *Conn) Flushed() bool { return c.sent.Load() == c.queued.Load() }
 
 // Quiet says that nothing has come which the handler was not told, not even the end of the connection. It looks at the
 // socket itself: the poller may be behind.
@@ -175,14 +272,21 @@
 }
 
 // Unsent is the number of bytes handed to Write that the system has not taken yet.
-func (c *Conn) Unsent() int { return int(c.queued - c.sent.Load()) }
+func (c *Conn) Unsent() int { return int(c.queued.Load() - c.sent.Load()) }
 
-// Finish closes the connection once the system has taken all that was written, or after the given time.
-func (c *Conn) Finish(within time.Duration) {
+// Finish closes the connection once the system has taken all that was written, or once it has taken nothing for the
+// given time: a peer that reads slowly gets the whole.
+func (c *Conn) Finish(within time.Duration) { c.finish(within, within, 0) }
+
+func (c *Conn) finish(within, left time.Duration, before int64) {
 	if c.closed {
 		return
 	}
-	if c.Flushed() || within <= 0 {
+	sent := c.sent.Load()
+	if sent > before {
+		left = within
+	}
+	if c.Flushed() || left <= 0 {
 		c.Close()
 		return
 	}
@@ -190,7 +294,7 @@
 	c.engine.finishing++
 	c.engine.loop.After(step, func() {
 		c.engine.finishing--
-		c.Finish(within - step)
+		c.finish(within, left-step, sent)
 	})
 }
 
@@ -204,6 +308,8 @@
 		std, err := net.DialTimeout("tcp", addr, within)
 		e.loop.Post(func() {
 			if err == nil {
+				// What the system keeps of a connection that is held, and what comes at once with its end.
+				std.(*net.TCPConn).SetReadBuffer(4 * readSize)
 				err = e.adopt(std, nil, e.loop.Post, func(c *Conn) Handler { return done(c, nil) })
 			}
 			if err != nil {
--- a/internal/sock/sock_test.go
+++ b/internal/sock/sock_test.go
@@ -175,41 +175,118 @@
 	wait(t, other, "got")
 }
 
-// A peer that sends faster than the loop reads is closed: what it sends is not kept.
+// A peer that sends faster than the loop reads has to wait: little of it is kept, and all of it comes, in order, though the
+// peer ends the connection behind it. So does one whose connection is held.
 func TestFlood(t *testing.T) {
+	const inbox, total = 64 << 10, 6 << 20
 	l := loop.New()
-	e, err := New(l, 1024, 64<<10)
+	e, err := New(l, 1024, inbox)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer e.Stop()
-	s := &sink{want: 1 << 40, done: make(chan string, 9)}
+	for _, hold := range []bool{false, true} {
+		s := &sink{want: 1 << 40, done: make(chan string, 9)}
+		var conn *Conn
+		ln, err := e.Listen("127.0.0.2:0", 64, slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler {
+			conn = c
+			s.done <- "accepted"
+			return s
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		if !hold {
+			go l.Run(func() {})
+			defer l.Stop()
+		}
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		wait(t, s.done, "accepted") // the loop has the connection before it is kept busy
+		busy, free := make(chan bool), make(chan bool)
+		l.Post(func() {
+			conn.Hold(hold)
+			close(busy)
+			if !hold {
+				<-free
+			}
+		})
+		<-busy
+		wrote := make(chan error)
+		go func() {
+			p := make([]byte, total)
+			for i := range p {
+				p[i] = byte(i % 251)
+			}
+			_, err := c.Write(p)
+			c.Close()
+			wrote <- err
+		}()
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+			conn.mu.Lock()
+			n, full := len(conn.in), conn.full
+			conn.mu.Unlock()
+			if n > inbox+readSize {
+				t.Fatalf("%d bytes kept", n)
+			}
+			if full {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatal("never full")
+			}
+		}
+		close(free)
+		if hold {
+			l.Post(func() { conn.Hold(false) })
+		}
+		if err := <-wrote; err != nil {
+			t.Fatal(err)
+		}
+		wait(t, s.done, "closed")
+		if len(s.got) != total {
+			t.Fatalf("%d bytes came", len(s.got))
+		}
+		for i, b := range s.got {
+			if b != byte(i%251) {
+				t.Fatalf("byte %d is wrong", i)
+			}
+		}
+	}
+}
+
+// A connection that is to be closed is not cut while its peer goes on taking, however long that takes.
+func TestFinishWaitsForASlowReader(t *testing.T) {
+	l, e := start(t)
+	const total = 7 << 20
 	ln, err := e.Listen("127.0.0.2:0", 64, slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler {
-		s.done <- "accepted"
-		return s
+		c.nb.SetWriteBuffer(64 << 10)
+		c.Write(make([]byte, total))
+		c.Finish(time.Second)
+		return echo{c}
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	busy, free := make(chan bool), make(chan bool)
-	go l.Run(func() {})
-	defer l.Stop()
 	c, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	wait(t, s.done, "accepted") // the loop has the connection before it is kept busy
-	l.Post(func() { busy <- true; <-free })
-	<-busy
+	c.(*net.TCPConn).SetReadBuffer(64 << 10)
 	c.SetDeadline(time.Now().Add(20 * time.Second))
-	for err = nil; err == nil; {
-		_, err = c.Write(make([]byte, 64<<10))
+	got, buf := 0, make([]byte, 128<<10)
+	for err == nil {
+		var n int
+		n, err = c.Read(buf)
+		got += n
+		time.Sleep(15 * time.Millisecond)
 	}
-	close(free)
-	wait(t, s.done, "closed")
-	if len(s.got) > 64<<10 {
-		t.Fatalf("%d bytes kept", len(s.got))
+	if got != total {
+		t.Fatalf("%d bytes, %v", got, err)
 	}
+	l.Post(func() {})
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -23,6 +23,7 @@
 	Delay  time.Duration
 	Spoil  func(answer []byte) []byte // changes the answer before it is sent
 	Behind []byte                     // it sends this behind the answer, in a segment of its own
+	Leave  bool                       // it ends the connection behind the answer
 }
 
 // DB is a db machine.
@@ -185,6 +186,9 @@
 				if _, err := c.Write(out); err != nil {
 					return
 				}
+				if a.Leave {
+					return
+				}
 				if a.Behind != nil {
 					time.Sleep(2 * time.Millisecond)
 					c.Write(a.Behind)
@@ -253,7 +257,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	k := &Client{t: t, c: c, r: pgwire.NewReader(1<<20, 0)}
+	k := &Client{t: t, c: c, r: pgwire.NewReader(8<<20, 0)}
 	k.Send(pgwire.AppendStartup(nil, "user", "portal", "database", "crm"))
 	if a := k.Until('Z'); a.Code != "" {
 		t.Fatalf("not welcome: %+v", a)
