--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,6 +19,7 @@
 	inUse      = 2 * time.Second        // a group without requests for this long is not probed
 	stall      = 5 * beat               // a pause of this instance or of a member that is told from silence
 	trialFirst = 250 * time.Millisecond // first wait before a suspect's trial; doubles up to trialLast
+	listTurn   = 150 * time.Millisecond // of the list's service, for each instance beyond a few
 	trialLast  = 2 * time.Second
 	lostAfter  = 2     // times its patience: an attempt is lost if the member has answered later ones
 	heldShare  = 20    // held work is looked at again after this part of the time it has waited
@@ -36,7 +37,7 @@
 	creditMost = 4.0   // requests in a row where the share is under one: arrivals are uneven
 	reserved   = 0.5   // part of the credit that work of little worth leaves to better work
 	coldShare  = 0.6   // part of the cold budget that is used: costs are estimates
-	probeSpend = 0.01  // part of a request's worth that may go into probes
+	probeSpend = 0.03  // part of a request's worth that may go into probes
 	probeFirst = 8.0   // probes before anything is earned: about two groups
 	probeMost  = 32.0  // probes that may be saved up for a failure
 	spare      = 0.75  // part of the primary's limit for weak reads: strong work needs some at once
@@ -130,11 +131,11 @@
 		// Danger: all instances ask again at once and sink the list's service. Double the wait, with jitter.
 		r.tracked = false
 		r.trackAt = r.now + r.trackGap/2 + time.Duration(r.rng.Int64N(int64(r.trackGap)))
-		r.trackGap = min(2*r.trackGap, trialLast)
+		r.trackGap = min(2*r.trackGap, max(trialLast, 2*r.turns()))
 		return
 	}
-	if l.Kind != ListCached {
-		r.trackGap = trialFirst
+	if r.trackGap = max(trialFirst, r.turns()); l.Kind == ListCached {
+		r.trackAt = r.now + time.Duration(r.rng.Int64N(int64(r.turns())+1))
 	}
 	seen := map[string]bool{}
 	for _, e := range l.Entries {
@@ -165,8 +166,7 @@
 		g.members = append(g.members, n)
 		slices.SortFunc(g.members, func(a, b *node) int { return cmp.Compare(a.id, b.id) })
 	}
-	n.zone = e.Zone
-	if e.State != Ready {
+	if n.zone = e.Zone; e.State != Ready {
 		r.leave(n, e.State)
 		return
 	}
@@ -386,14 +386,13 @@
 		case n.suspect && n.proven && r.now >= n.trialAt && r.aged(n) && g.usedAt > n.probedAt:
 			// Danger: its position has aged while it waited for its trial, so no bounded read may try it.
 			r.ask(n, max(probeGap, n.backoff))
-		case n == g.primary || n.suspect || n.probing || g.wantedAt != r.now || r.now-n.pos < probeGap:
-		case n.zone == r.cfg.Zone:
-			stale = append([]*node{n}, stale...)
-		default:
+		case n != g.primary && !n.suspect && !n.probing && g.wantedAt == r.now && r.now-n.pos >= probeGap:
 			stale = append(stale, n)
 		}
 	}
 	g.asked = true
+	// Danger: in a fixed order one that is far behind takes all that many instances can spend, in vain.
+	slices.SortFunc(stale, r.dearer)
 	// Reads have found no replica. One report is enough for them; the others are asked from plenty only.
 	for i, n := range stale {
 		if i == 0 || r.probes > probeMost/2 {
@@ -468,8 +467,7 @@
 }
 
 func (r *Router) close(q *request) {
-	q.over = true
-	if q.out == 0 {
+	if q.over = true; q.out == 0 {
 		delete(r.reqs, q.id)
 	}
 }
@@ -557,8 +555,7 @@
 		r.busy = append(r.busy, n)
 	}
 	q.tries, n.out = append(q.tries, a), append(n.out, a)
-	q.out++
-	n.eager = false
+	q.out, n.eager = q.out+1, false
 	r.due = min(r.due, r.now+patience(n.out...)+1)
 	if q.group.state != usable && q.class.Need == NeedUpdate {
 		q.group.trial = a
@@ -594,8 +591,7 @@
 	}
 	a := q.tries[e.Attempt]
 	n := a.node
-	a.ended = true
-	q.out--
+	a.ended, q.out = true, q.out-1
 	n.out = slices.DeleteFunc(n.out, func(b *attempt) bool { return a == b })
 	pos := e.Position
 	if e.Status == Done && q.class.Need == NeedUpdate {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1320,3 +1320,73 @@
 	}
 	t.Fatal("never used again")
 }
+
+// Many instances that start, or lose their watches, at one moment spread their calls; a few ask at once, as ever.
+func TestManyTakeTurnsAtTheList(t *testing.T) {
+	spread := map[int]map[time.Duration]bool{}
+	for _, n := range []int{3, 36} {
+		spread[n] = map[time.Duration]bool{}
+		for seed := range uint64(40) {
+			c := base()
+			c.Instances, c.Ask = n, true
+			r, err := New(c, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := 100 * time.Second
+			asked := len(pick[Track](r.Step(now, []Event{three(ListCached)}))) > 0
+			for ; !asked && now < 200*time.Second; now += 10 * ms {
+				asked = len(pick[Track](r.Step(now, nil))) > 0
+			}
+			spread[n][now] = true
+			for round := range 6 { // and each failure makes them wait for longer, but not for ever
+				at := now
+				asked = len(pick[Track](r.Step(now, []Event{List{Kind: ListFailed}}))) > 0
+				for ; !asked; now += 10 * ms {
+					asked = len(pick[Track](r.Step(now, nil))) > 0
+				}
+				if wait := now - at; wait > 20*time.Second || n == 3 && wait > 3*time.Second+100*ms || n == 36 && wait < 2*time.Second {
+					t.Errorf("%d instances, failure %d: %v", n, round, wait)
+				}
+			}
+		}
+	}
+	if len(spread[3]) != 1 || len(spread[36]) < 30 {
+		t.Fatalf("%d and %d different moments", len(spread[3]), len(spread[36]))
+	}
+}
+
+// What is spent on reports goes to replicas that were recent enough when they last told, each in its turn.
+func TestReportsAreAskedOfTheRecent(t *testing.T) {
+	for _, recent := range []string{"b", "c"} {
+		h := ready(t, base())
+		asked := 0
+		var run func(acts []Action)
+		run = func(acts []Action) {
+			for _, s := range pick[Send](acts) {
+				run(h.step(ms, Outcome{ID: s.ID, Node: s.Node, Status: Done, Took: ms, Finished: true}))
+			}
+			for _, p := range pick[Probe](acts) {
+				role, lag := RoleReplica, 10*time.Second
+				switch p.Node {
+				case "a":
+					role = RolePrimary
+				case recent:
+					lag = 250 * ms
+					asked++
+				}
+				if p.Node != recent && asked > 1 {
+					t.Fatalf("%s is asked", p.Node)
+				}
+				run(h.step(0, ProbeResult{Node: p.Node, Status: Done, Role: role, Position: h.now - lag}))
+			}
+		}
+		for range 30 { // at the first use all are asked
+			h.r.probes = 1
+			run(h.step(600*ms, h.request("bounded")))
+		}
+		if asked < 20 {
+			t.Fatalf("%s is asked %d times", recent, asked)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -99,6 +99,26 @@
 	begun          bool // its answer is passed on as it comes
 }
 
+// dear says how little a report of n is likely to be of use to a bounded read: less if it was behind, then if it is far.
+func (r *Router) dear(n *node) (d int) {
+	if !r.fresh(n) {
+		d = 2
+	}
+	if n.zone != r.cfg.Zone {
+		d++
+	}
+	return d
+}
+
+// dearer compares members by how dear a report is that is of use to a bounded read, then by whose turn it is.
+func (r *Router) dearer(a, b *node) int {
+	return cmp.Or(cmp.Compare(r.dear(a), r.dear(b)), cmp.Compare(a.probedAt, b.probedAt))
+}
+
+// turns is the time over which instances spread their calls for the list. Calls that wait too long fail, and cost its service
+// all the same: many that start at once, or lose their watches at once, would keep each other out for good.
+func (r *Router) turns() time.Duration { return time.Duration(max(0, r.cfg.Instances-3)) * listTurn }
+
 // begin notes that an answer is passed on as it comes. How long its peers take over the rest is no sign of the member's load
 // or health, and what it still gives must not be taken back: it is not among those that are out any more.
 func (a *attempt) begin(now Time) {
--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -74,7 +74,7 @@
 	}
 	d := &daemon{log: log, loop: loop.New(), name: cfg.Name, events: noEvents{}, known: map[string]bool{}}
 	d.lim = limits.For(cfg.Limits.MemoryMB, cfg.Limits.Sockets, time.Duration(cfg.Settings.Limits.ConnectTimeoutNs),
-		time.Duration(cfg.Settings.Limits.ConnIdleNs), longest)
+		time.Duration(cfg.Settings.Limits.ConnIdleNs), longest).Among(cfg.Balance.Instances)
 	if dep.Extended.Listen != "" {
 		d.lim.Clients /= 2 // both fronts share the descriptors
 	}
@@ -130,8 +130,12 @@
 			d.empty(true)
 		}
 		d.listed(known, balance.ListCached)
-		d.watcher.Track()
-		d.loop.After(d.lim.ListFirst, d.ready)
+		first := d.lim.ListFirst
+		if d.lim.ListKnown && len(known.Servers) > 0 {
+			d.watcher.From(known.Version)
+			first = 0
+		}
+		d.loop.After(first, d.ready)
 		d.report()
 	})
 	d.shared.Follow(d.lim.Share, d.loop.Urgent, d)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -70,6 +70,7 @@
 	WatchWait    time.Duration // what a watch asks discovery to wait
 	CallSlack    time.Duration // a call of discovery fails this long after its wait
 	ListFirst    time.Duration // the router is ready without a list after this
+	ListKnown    bool          // it starts from the list it knows, and asks for what has changed since only
 	DrainAccept  time.Duration // connections are accepted for this long after SIGTERM
 	DrainMost    time.Duration // the program ends at the latest this long after SIGTERM
 	Sweep        time.Duration // how often idle connections are looked at
@@ -77,6 +78,14 @@
 	Share        time.Duration // how often what is shared with another process is looked at
 }
 
+// Among is what one router may ask of what so many share. Guards discovery: where many start at once it has a list's time
+// for few of them. One watch from the version that is known costs it a part of a whole list and a watch behind it.
+func (l Limits) Among(routers int) Limits {
+	const few = 4
+	l.ListKnown = routers > few
+	return l
+}
+
 // Lean is what a process may use while another one of the same router is alive: the platform counts them as one.
 func (l Limits) Lean() Limits {
 	l.Memory, l.Garbage, l.Buffered = l.Memory/2, 100, l.Buffered/2
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -45,6 +45,9 @@
 	return &Watcher{loop: l, engine: e, lim: lim, log: log, addr: addr, whole: true, sink: s}
 }
 
+// From says that the list of that version is known: only what has changed since is asked for.
+func (w *Watcher) From(version int64) { w.version, w.whole = version, false }
+
 // Move goes on at another address, with the whole list first: the versions of two discoveries need not agree. What
 // the old one may still say, or its closing, is no more heard.
 func (w *Watcher) Move(addr string) {
