Measure load up to an answer's first byte: a slow peer's transfer is no crowd

Suspected: slow transfers read as crowding, since Took ran to an answer's last byte. Checked with each attempt's times logged: of queue-view's answers 25% take 4 ms and more from first to last byte, 5% seconds, but those are passed on and end at FirstByte already. The measure is right all the same, and what is kept whole no longer depends on how slowly a peer writes.

--- a/internal/router/book.go
+++ b/internal/router/book.go
@@ -28,7 +28,12 @@
 	} else if q.began {
 		r.cut(q)
 	}
-	r.outcome(q, leg, q.node, res, r.loop.Now()-q.sentAt)
+	// Guards the module's sight of load: how long a slow peer takes over an answer says nothing of how busy it is.
+	took := r.loop.Now() - q.sentAt
+	if res.At > 0 {
+		took = res.At - q.sentAt
+	}
+	r.outcome(q, leg, q.node, res, took)
 	r.forget(q)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,6 +66,7 @@
 	Role     balance.Role
 	Position time.Duration
 	Answer   Answer
+	At       time.Duration // when its answer began to come, 0 = none did
 }
 
 // Call is an attempt under way.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -141,6 +141,23 @@
 	}
 }
 
+// The module hears when an answer began to come, not when a slow peer had given the whole of it.
+func TestTookEndsWithTheFirstByte(t *testing.T) {
+	r, p, l := start(t)
+	var took time.Duration
+	play(r, l, 200*time.Millisecond, func() {
+		at := l.Now()
+		r.Take(Request{Class: "look", Deadline: time.Second, At: at, Job: 1}, &owed{l: l})
+		l.After(150*time.Millisecond, func() {
+			p.calls[0].done(Result{Status: balance.Done, At: at + 10*time.Millisecond})
+			took = r.pending[len(r.pending)-1].(balance.Outcome).Took
+		})
+	})
+	if took > 10*time.Millisecond {
+		t.Fatal(took)
+	}
+}
+
 func TestWhatWasNeverWrittenIsRefused(t *testing.T) {
 	r, p, l := start(t)
 	p.written = false
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -29,6 +29,7 @@
 
 	// of the answer that is coming in
 	answer *Answer
+	cameAt time.Duration     // when it began to, 0 = it has not
 	begun  bool              // it is passed on as it comes
 	row    *pgwire.RowStream // the row that is being passed on, nil = none is
 	held   bool              // the client takes no more for now
@@ -133,6 +134,9 @@
 func (k *conn) Data(p []byte) {
 	k.reader.Feed(p)
 	k.stall.Stop()
+	if k.call != nil && k.cameAt == 0 {
+		k.cameAt = k.machine.pool.loop.Now()
+	}
 	for !k.ended {
 		if k.row != nil && !k.pass() {
 			break
@@ -330,7 +334,7 @@
 // result says how the call ended. Codes that concern the statement itself go back to the client as they came;
 // those of PROTOCOL's table are outcomes for the module.
 func (k *conn) result() router.Result {
-	r := router.Result{Role: k.role, Position: k.pos}
+	r := router.Result{Role: k.role, Position: k.pos, At: k.cameAt}
 	switch {
 	case k.code == "" && k.call.job.Whole(k.answer):
 		r.Status, r.Answer = balance.Done, k.answer
@@ -412,7 +416,7 @@
 		return false
 	}
 	k.answer, k.code, k.role, k.pos = &Answer{Shape: pgwire.NewShape()}, "", balance.RoleUnknown, 0
-	k.begun, k.row = false, nil
+	k.begun, k.row, k.cameAt = false, nil, 0
 	if err := k.sock.Write(c.job.Messages(c.until - now)); err != nil {
 		// Nothing was written whole, so the call may go out on another connection.
 		k.end()
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -238,6 +238,30 @@
 	}
 }
 
+// When an answer began to come is told apart from its end.
+func TestSlowAnswer(t *testing.T) {
+	db := standin.NewDB(t, true, func(typ byte, _ string) (a standin.Act) {
+		if typ == 'Q' {
+			a.Spoil = func(p []byte) []byte { return p[:20] }
+			a.Behind = long(4, 0)[20:]
+			a.Pause = 100 * time.Millisecond
+		}
+		return a
+	})
+	r := start(t, lim(), db.Addr)
+	var end time.Duration
+	done := make(chan router.Result, 9)
+	r.loop.Post(func() {
+		r.pool.Start(router.Attempt{Node: "n", Job: job("a"), Until: r.loop.Now() + 10*time.Second}, func(x router.Result) {
+			end = r.loop.Now()
+			done <- x
+		})
+	})
+	if x := r.end(done); x.Status != balance.Done || end-x.At < 90*time.Millisecond {
+		t.Fatalf("%v: began %v before its end", x.Status, end-x.At)
+	}
+}
+
 // A send that a slow connection has held up past the age its data may have is not made.
 func TestTooLateToSend(t *testing.T) {
 	db := standin.NewDB(t, true, func(typ byte, _ string) standin.Act {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -23,6 +23,7 @@
 	Delay  time.Duration
 	Spoil  func(answer []byte) []byte // changes the answer before it is sent
 	Behind []byte                     // it sends this behind the answer, in a segment of its own
+	Pause  time.Duration              // before that, in place of a short one
 	Leave  bool                       // it ends the connection behind the answer
 }
 
@@ -190,7 +191,7 @@
 					return
 				}
 				if a.Behind != nil {
-					time.Sleep(2 * time.Millisecond)
+					time.Sleep(max(a.Pause, 2*time.Millisecond))
 					c.Write(a.Behind)
 				}
 				out = nil
