Give up the attempt of a read whose client has left: others need the db machine

Ruled out: answers that come too late, since no deadline was near; slow transfers. At fault: router.Leave kept every attempt running. Reads are given up now; what may change data still runs.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -247,3 +247,18 @@
 		t.Fatalf("%d in hand, %d open", r.InHand(), len(r.open))
 	}
 }
+
+// A client that leaves gives up the attempt of its read, and hears nothing; what may change data runs to its end.
+func TestLeavingGivesAReadUp(t *testing.T) {
+	for class, given := range map[string]bool{"look": true, "job": false} {
+		r, p, l := start(t)
+		o := &owed{l: l}
+		play(r, l, 100*time.Millisecond, func() {
+			id, _ := r.Take(Request{Class: class, Deadline: time.Second, At: l.Now(), Job: 1}, o)
+			l.After(20*time.Millisecond, func() { r.Leave(id) })
+		})
+		if len(p.calls) != 1 || p.calls[0].over != given || o.total() != 0 || (r.InHand() == 0) != given {
+			t.Errorf("%s: %d attempts, %+v, %d in hand", class, len(p.calls), o, r.InHand())
+		}
+	}
+}
--- a/internal/router/takein.go
+++ b/internal/router/takein.go
@@ -4,6 +4,8 @@
 	"errors"
 	"strconv"
 	"time"
+
+	"limeladder/balance"
 )
 
 // What makes a request unfit: it is turned away before anything is kept of it.
@@ -48,7 +50,8 @@
 // answerBefore is how long before the client's deadline the answer has to be on its way.
 func (r *Router) answerBefore(d time.Duration) time.Duration { return min(r.lim.AnswerBefore, d/4) }
 
-// Leave says that the client of a request has gone. Its attempt runs on, since the db machine is at work on it.
+// Leave says that the client of a request has gone. A read's attempt is given up: nobody waits for it, and others wait for
+// the db machine. What may change data runs on.
 func (r *Router) Leave(id string) {
 	q := r.inHand[id]
 	if q == nil || q.over {
@@ -57,5 +60,8 @@
 	r.end(q)
 	r.count.Left++
 	r.leave(q)
+	if r.classes[q.Class].Effect == balance.Safe {
+		r.cancel(q, balance.Cancelled)
+	}
 	r.forget(q)
 }
