Begin crowding at 0.35 of the aim: an idle member takes 0.28 on real sockets

Checked with all members logged at each refusal: queue-view takes 28 to 33 ms of an aim of 105 with little out, so the moving mean stands above stretch (0.25) whatever the load, and each answer cuts the limit. Replicas that stand still together are cut off, not blocked. What a full member loses stays 0.25, now a constant of its own.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,9 +25,10 @@
 	heldShare  = 20    // held work is looked at again after this part of the time it has waited
 	relapse    = 10    // a doubt within this many of trialLast after the one before waits twice as long
 	smooth     = 0.1   // weight of a new sample in moving averages: about the last ten count
-	stretch    = 0.25  // part of the aim that attempts may take in the mean before a member is crowded,
+	giveWay    = 0.25  // part of its limit that a full member loses, or one that has little of it
+	stretch    = 0.35  // part of the aim that attempts may take in the mean before a member is crowded,
 	stretchBy  = 1.5   // or this multiple of the member's least, since a slow one is not crowded,
-	stretchMax = 0.4   // but never more than this
+	stretchMax = 0.5   // but never more than this
 	drift      = 0.002 // the least seen is forgotten at this rate: work and members change
 	firstLimit = 16.0  // attempts out per member, over all instances, before anything is learned
 	errorShare = 0.25  // share of failures beyond the peers' that makes a member sick
@@ -636,7 +637,7 @@
 		cost = 0
 		// Danger: what is turned away at once comes back at once, and keeps a full member full.
 		if r.now >= n.restAt {
-			n.limit = max(r.leastLimit(), n.limit*(1-stretch))
+			n.limit = max(r.leastLimit(), n.limit*(1-giveWay))
 		}
 		n.restAt = r.now + seconds(q.class.lat/2)
 	case Error:
@@ -980,7 +981,7 @@
 	few := n.limit < 1
 	weight, cut := smooth, min(smooth, smooth/10*max(2, r.instances()))
 	if few {
-		weight, cut = 3*smooth, stretch
+		weight, cut = 3*smooth, giveWay
 	}
 	n.slow += weight * (part - n.slow)
 	n.least = min(n.slow, n.least*(1+drift))
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1390,3 +1390,22 @@
 		}
 	}
 }
+
+// A member that takes three tenths of the aim with nothing to do, as on real sockets, is not crowded: its limit stays. One
+// that takes half is.
+func TestAnIdleMemberIsNotCrowded(t *testing.T) {
+	for part, crowded := range map[float64]bool{0.3: false, 0.5: true} {
+		h := ready(t, base())
+		for range 300 {
+			q := h.request("any")
+			s := h.sent(h.step(ms, q), "bc")[0]
+			took := time.Duration(part * float64(400*ms))
+			h.step(took, Outcome{ID: q.ID, Node: s.Node, Status: Done, Took: took, Finished: true})
+		}
+		for _, id := range []string{"b", "c"} {
+			if got := h.r.nodes[id].limit < firstLimit; got != crowded {
+				t.Errorf("%s takes %v of the aim: limit %.1f", id, part, h.r.nodes[id].limit)
+			}
+		}
+	}
+}
