Two processes: leave the new one two thirds of the places for clients; the store moves over

The descriptors of both stay within one router's, which the limits' test now checks. TestUpgrade has the store on: it opens once the old process is gone.

--- a/cmd/limeladder/daemon_test.go
+++ b/cmd/limeladder/daemon_test.go
@@ -225,7 +225,7 @@
 }
 
 // A process is replaced while it serves: the socket stays, a ban and the ids that were listed pass on, what is in hand is
-// finished, idle clients are closed, and the second front moves over. The first one then ends in order.
+// finished, idle clients are closed, the second front and the store move over. The first one then ends in order.
 func TestUpgrade(t *testing.T) {
 	asked, goOn := make(chan bool, 9), make(chan bool)
 	db := standin.NewDB(t, true, func(typ byte, id string) standin.Act {
@@ -262,9 +262,10 @@
 		defer ln.Close()
 		return ln.Addr().String()
 	}
-	dir, tmp, second := t.TempDir(), t.TempDir(), free()
+	dir, tmp, second, peer := t.TempDir(), t.TempDir(), free(), free()
 	os.WriteFile(dir+"/config.json", []byte(configText(discovery.Listener.Addr().String())), 0o600)
-	os.WriteFile(dir+"/deploy.toml", []byte(fmt.Sprintf("[extended]\nlisten = %q\n", second)), 0o600)
+	os.WriteFile(dir+"/deploy.toml", []byte(fmt.Sprintf("[extended]\nlisten = %q\n[store]\nname = \"n1\"\nfolder = %q\n[store.peers]\nn1 = %q\n",
+		second, t.TempDir(), peer)), 0o600)
 	start := func() (cmd *exec.Cmd, operator string) {
 		cmd, operator = program(dir+"/config.json"), free()
 		cmd.ExtraFiles = []*os.File{held}
@@ -308,6 +309,15 @@
 	if err := first.Wait(); err != nil {
 		t.Fatal(err)
 	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) { // the store has moved over too
+		if c, err := net.Dial("tcp", peer); err == nil {
+			c.Close()
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the store is not open")
+		}
+	}
 	for _, addr := range []string{ln.Addr().String(), second} {
 		for i := range 20 {
 			for { // the second front moves over in a moment
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -86,10 +86,12 @@
 	return l
 }
 
-// Lean is what a process may use while another one of the same router is alive: the platform counts them as one.
+// Lean is what a process may use while another one of the same router is alive: the platform counts them as one. All
+// clients come over to the new one before the old one is gone, and have no more connections than before: they keep more
+// than a half.
 func (l Limits) Lean() Limits {
 	l.Memory, l.Garbage, l.Buffered = l.Memory/2, 100, l.Buffered/2
-	l.Clients, l.Connections, l.IdleMachine = l.Clients/2, l.Connections/2, max(2, l.IdleMachine/2)
+	l.Clients, l.Connections, l.IdleMachine = l.Clients*2/3, l.Connections/2, max(2, l.IdleMachine/2)
 	return l
 }
 
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -13,6 +13,10 @@
 			if n := l.Clients + l.Connections; n > sockets-32 || l.ClientsEasy >= l.Clients || l.Clients < sockets/3+sockets/6 {
 				t.Errorf("%d sockets: %d for clients, %d for db machines", sockets, l.Clients, l.Connections)
 			}
+			// Two processes at once: clients hold a third of the descriptors for requests, wherever they are.
+			if lean := l.Lean(); lean.Clients < sockets/3 || 2*lean.Connections+sockets/3+2*(sockets-l.Clients-l.Connections) > sockets || 2*lean.Memory > l.Memory {
+				t.Errorf("%d sockets: two processes with %d for clients, %d for db machines each", sockets, lean.Clients, lean.Connections)
+			}
 			memory := int64(m) << 20
 			if l.Memory > memory*2/3 || int64(l.Buffered) > memory/8 || int64(l.Inbox) > memory/16 || l.Unread < l.Answer {
 				t.Errorf("%d MB: %+v", m, l)
