Module: a first byte that names no attempt is passed over; invariants with bans and first bytes

Seen: the invariants' test, taught to suspend members and to begin answers, panicked in Step. Checked: FirstByte with Attempt -1 for a request that was never sent met len(q.tries)-1. No caller of ours sends it; the adapter's wire could.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -101,10 +101,12 @@
 				r.close(q)
 			}
 		case FirstByte:
-			if q := r.reqs[e.ID]; q != nil && e.Attempt == len(q.tries)-1 && !q.tries[e.Attempt].begun {
+			// Danger: one that names no attempt, or one that has ended, says nothing of this answer.
+			if q := r.reqs[e.ID]; q != nil && q.out > 0 && e.Attempt == len(q.tries)-1 {
 				q.dieAt = never
-				q.tries[e.Attempt].begin(now)
-				r.served(q, q.tries[e.Attempt].node, now-q.tries[e.Attempt].at)
+				if a := q.tries[e.Attempt]; a.begin(now) {
+					r.served(q, a.node, now-a.at)
+				}
 			}
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -511,6 +511,7 @@
 		die       Time
 		over      bool
 		mayRun    bool
+		begun     bool // its answer is passed on as it comes
 		out, legs int
 	}
 	type try struct {
@@ -519,7 +520,7 @@
 		at       Time
 	}
 	reqs, open := map[string]*live{}, []try{}
-	barred := map[string]bool{}
+	barred, suspended, since := map[string]bool{}, map[string]bool{}, map[string]int{}
 	now, n := 50*time.Second, 0
 	events := []Event{three(ListCached)}
 	var all []Action
@@ -535,8 +536,12 @@
 		var keep []try
 		for _, a := range open {
 			q := reqs[a.id]
-			due := now >= q.die
-			if !due && rng.IntN(4) != 0 {
+			due := now >= q.die && !q.begun
+			if !due && !q.over && rng.IntN(8) == 0 {
+				q.begun = true
+				events = append(events, FirstByte{ID: a.id, Attempt: a.leg})
+			}
+			if !due && (rng.IntN(4) != 0 && i < 590 || q.begun && rng.IntN(20) != 0 && i < 500) {
 				keep = append(keep, a)
 				continue
 			}
@@ -548,7 +553,7 @@
 				o.Position = now - time.Duration(rng.IntN(800))*ms
 			}
 			q.out--
-			if o.Status == Done {
+			if o.Status == Done || q.begun {
 				q.over = true
 			}
 			o.Finished = q.over
@@ -568,7 +573,14 @@
 		case 1:
 			events = append(events, ProbeResult{Node: []string{"a", "b", "x"}[rng.IntN(3)], Status: Status(rng.IntN(9)), Role: Role(rng.IntN(3)), Position: now - time.Duration(rng.IntN(300))*ms})
 		case 2:
-			events = append(events, Outcome{ID: "nobody", Attempt: 3}, ClientGone{ID: "nobody"}, Wake{}, FirstByte{ID: "nobody"})
+			events = append(events, Outcome{ID: "nobody", Attempt: 3}, ClientGone{ID: "nobody"}, Wake{}, FirstByte{ID: "nobody"},
+				FirstByte{ID: fmt.Sprint("q", 1+rng.IntN(n+1)), Attempt: -1})
+		case 4:
+			node := []string{"a", "b", "c", "x"}[rng.IntN(4)]
+			if out := rng.IntN(2) == 0; out != suspended[node] {
+				suspended[node], since[node] = out, i
+			}
+			events = append(events, Suspend{Node: node, Out: suspended[node]})
 		case 3:
 			id := fmt.Sprint("q", 1+rng.IntN(n+1))
 			if q := reqs[id]; q != nil && !q.over {
@@ -589,20 +601,31 @@
 				if q.mayRun && q.class == "write" {
 					t.Fatalf("seed %d: second run of unsafe %s", seed, a.ID)
 				}
+				if suspended[a.Node] {
+					t.Fatalf("seed %d: send to %s, which is suspended", seed, a.Node)
+				}
 				if barred[a.Node] {
 					t.Fatalf("seed %d: send to %s, which drains or is gone", seed, a.Node)
 				}
 				open = append(open, try{a.ID, a.Node, q.legs, now})
 				q.out++
 				q.legs++
+			case Probe:
+				if suspended[a.Node] && since[a.Node] < i { // one may be asked for by an event before, in the same step
+					t.Fatalf("seed %d: probe of %s, which is suspended", seed, a.Node)
+				}
+			case Cancel:
+				if q := reqs[a.ID]; q.begun && a.Attempt == q.legs-1 {
+					t.Fatalf("seed %d: the answer to %s is cut off", seed, a.ID)
+				}
 			case Refuse:
 				q := reqs[a.ID]
-				if q == nil || q.over || q.mayRun && (q.class == "write" || q.class == "keyed") {
+				if q == nil || q.over || q.begun || q.mayRun && (q.class == "write" || q.class == "keyed") {
 					t.Fatalf("seed %d: refusal of %s", seed, a.ID)
 				}
 				q.over = true
 			case Fail:
-				if q := reqs[a.ID]; q == nil || q.over {
+				if q := reqs[a.ID]; q == nil || q.over || q.begun {
 					t.Fatalf("seed %d: second answer to %s", seed, a.ID)
 				}
 				reqs[a.ID].over = true
--- a/balance/state.go
+++ b/balance/state.go
@@ -121,9 +121,14 @@
 
 // begin notes that an answer is passed on as it comes. How long its peers take over the rest is no sign of the member's load
 // or health, and what it still gives must not be taken back: it is not among those that are out any more.
-func (a *attempt) begin(now Time) {
+// It says whether that is news.
+func (a *attempt) begin(now Time) bool {
+	if a.begun {
+		return false
+	}
 	a.begun, a.node.progress = true, now
 	a.node.out = slices.DeleteFunc(a.node.out, func(b *attempt) bool { return a == b })
+	return true
 }
 
 // renew forgets what was held against a member that operators let back in. It was restarted: it is cold, and what it still
--- a/internal/router/route.go
+++ b/internal/router/route.go
@@ -9,9 +9,9 @@
 
 // Suspend takes a db machine out for operators, or lets it back in. It binds when it returns.
 func (r *Router) Suspend(node string, out bool) {
+	r.servers.Suspend(node, out) // first: what came before in the same step may still ask for a probe
 	r.pending = append(r.pending, balance.Suspend{Node: node, Out: out})
 	r.Step()
-	r.servers.Suspend(node, out)
 }
 
 // Step lets the decision module look at what has come and carries out what it decides. The loop calls it each
