Audit records: typed, numbered, chained, over UDP, TCP and TLS, with a spool

Members audit how their requests were handled, and what was sent so far was a handful of untyped events over UDP without served answers, numbers or proof. The core reports typed records through one method; a queue drops by importance; a goroutine beside the loop makes RFC 5424 messages of them, chains them by keyed BLAKE3 and carries them to the first collector that takes them, with a spool on disk behind. kong reads the command line (small, kept up, MIT), zeebo/blake3 hashes (CC0). The module says whom it takes for a primary by an action of its own.

--- a/balance/api.go
+++ b/balance/api.go
@@ -254,6 +254,15 @@
 // Track subscribes to the list.
 type Track struct{}
 
+// Lead tells whom the instance takes for a group's primary from now on, or that it has come to doubt the one it had. It
+// asks for nothing.
+type Lead struct {
+	Group    int64
+	Node     string
+	Believed bool
+	Why      string // of a doubt
+}
+
 // Log is a line for those on call.
 type Log struct{ Text string }
 
@@ -264,4 +273,5 @@
 func (Probe) action()  {}
 func (Timer) action()  {}
 func (Track) action()  {}
+func (Lead) action()   {}
 func (Log) action()    {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -182,7 +182,7 @@
 	n.state = Ready
 	// The list may lag by seconds: it counts only where no answer or probe has said anything newer.
 	if e.Primary && !n.leader && n.group.state != usable && n.denied == 0 {
-		n.group.primary, n.group.state = n, usable
+		r.lead(n)
 	}
 	n.leader = e.Primary
 }
@@ -235,11 +235,10 @@
 	n.claimed = max(n.claimed, at)
 	if g.state == unknown || g.primary != n && at > g.claimAt ||
 		g.primary == n && (g.state == usable || at > g.dirtyAt) {
-		if g.primary != n || g.state != usable {
-			r.log("group %d: primary is %s", g.id, n.id)
+		if r.lead(n) {
 			g.trial = nil
 		}
-		g.primary, g.state, g.claimAt = n, usable, max(at, g.claimAt)
+		g.claimAt = max(at, g.claimAt)
 	}
 }
 
@@ -261,7 +260,7 @@
 func (r *Router) soil(g *group, why string) {
 	if g.state == usable {
 		g.state, g.dirtyAt, g.trial, g.lookAt, g.lookGap = dirty, r.now, nil, r.now, probeGap
-		r.log("group %d: primary %s in doubt: %s", g.id, g.primary.id, why)
+		r.waver(g, why)
 	}
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -211,6 +211,24 @@
 
 func (r *Router) log(format string, args ...any) { r.do(Log{Text: fmt.Sprintf(format, args...)}) }
 
+// lead takes n for its group's primary, and says whether that is news.
+func (r *Router) lead(n *node) bool {
+	g := n.group
+	if g.primary == n && g.state == usable {
+		return false
+	}
+	g.primary, g.state = n, usable
+	r.log("group %d: primary is %s", g.id, n.id)
+	r.do(Lead{Group: g.id, Node: n.id, Believed: true})
+	return true
+}
+
+// waver tells that a group's primary is in doubt.
+func (r *Router) waver(g *group, why string) {
+	r.log("group %d: primary %s in doubt: %s", g.id, g.primary.id, why)
+	r.do(Lead{Group: g.id, Node: g.primary.id, Why: why})
+}
+
 func (r *Router) group(id int64) *group {
 	g := r.groups[id]
 	if g == nil {
--- a/cmd/limeladder/main.go
+++ b/cmd/limeladder/main.go
@@ -13,20 +13,26 @@
 	"limeladder/internal/config"
 )
 
+// deployPath is the operators' own file.
+func deployPath(getenv func(string) string) string {
+	return pick("deploy/limeladder.toml", getenv("LIMELADDER_DEPLOY"))
+}
+
 func main() {
 	// First of all: Go ends a program on a SIGHUP that nobody has asked for, however early it comes.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	if len(os.Args) > 1 {
+		if daemon, code := command(os.Args[1:], os.Stdin, os.Stdout, os.Stderr); !daemon {
+			os.Exit(code)
+		}
+	}
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "limeladder:", err)
 		os.Exit(2)
 	}
-	path := os.Getenv("LIMELADDER_DEPLOY")
-	if path == "" {
-		path = "deploy/limeladder.toml"
-	}
-	dep, err := config.LoadDeploy(path)
+	dep, err := config.LoadDeploy(deployPath(os.Getenv))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "limeladder:", err)
 		os.Exit(2)
--- a/cmd/limeladder/operate.go
+++ b/cmd/limeladder/operate.go
@@ -16,34 +16,34 @@
 		done(false)
 		return
 	}
-	d.suspend(id, out)
+	d.suspend(id, out, "operator")
 	// Guards the ban across an upgrade: it is in the folder before the operator has his yes.
 	d.shared.Suspend(id, out, func() { d.loop.Urgent(func() { done(true) }) })
 }
 
-func (d *daemon) suspend(id string, out bool) {
+func (d *daemon) suspend(id string, out bool, by string) {
 	name := "resumed"
 	if out {
 		name = "suspended"
 	}
 	d.log.Info(name, "node", id)
-	d.events.Event(name, "node", id)
+	d.record.drain(id, name, by)
 	d.core.Suspend(id, out)
 }
 
 // Drain implements operator.Router.
 func (d *daemon) Drain(on bool, done func()) {
-	d.empty(on)
+	d.empty(on, "operator")
 	d.shared.Drain(on, func() { d.loop.Urgent(done) })
 }
 
-func (d *daemon) empty(on bool) {
+func (d *daemon) empty(on bool, by string) {
 	name := "activated"
 	if on {
 		name = "drained"
 	}
 	d.log.Info(name)
-	d.events.Event(name)
+	d.record.router(name, by)
 	d.emptied = on
 	for _, f := range d.fronts {
 		f.Empty(on)
@@ -51,10 +51,10 @@
 }
 
 // Suspended implements handover.Sink.
-func (d *daemon) Suspended(id string, out bool) { d.suspend(id, out) }
+func (d *daemon) Suspended(id string, out bool) { d.suspend(id, out, "another process") }
 
 // Drained implements handover.Sink.
-func (d *daemon) Drained(on bool) { d.empty(on) }
+func (d *daemon) Drained(on bool) { d.empty(on, "another process") }
 
 // Listed implements handover.Sink.
 func (d *daemon) Listed(ids []string) {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"limeladder/internal/limits"
@@ -21,6 +22,8 @@
 	// Take refuses with an error what must not reach a db machine.
 	Take(q router.Request, c router.Client) (id string, err error)
 	Leave(id string)
+	// Turn enters a request that is refused for want of room.
+	Turn(q router.Request, after time.Duration)
 }
 
 // Speaker works on the messages of one connection.
@@ -42,6 +45,7 @@
 	draining bool // the program is about to end
 	empty    bool // operators have drained the router
 	gentle   bool // another process takes the clients: there is time to let each finish
+	named    bool // requests say whose they are
 	conns    map[*Conn]struct{}
 	buffered int // bytes of all clients that wait to be read or are kept for them
 }
@@ -54,6 +58,12 @@
 	return f
 }
 
+// Name makes requests say whose they are, and from where, for the record. It is called before the first connection.
+func (f *Front) Name() { f.named = true }
+
+// nameMost bounds what is kept of a user's name.
+const nameMost = 64
+
 // Ready says that empty queries may be answered from now on: the platform sends clients after that.
 func (f *Front) Ready() { f.ready = true }
 
@@ -176,6 +186,8 @@
 	unsent  int           // what it has not taken
 	flow    router.Flow   // of the answer that is passed on as it comes, nil = none is
 	choked  bool          // it is not read until it has taken more
+	user    string        // whose it is, and from where; only where requests are to say it
+	from    string
 }
 
 // overdue says what a client has failed to do in time.
@@ -419,7 +431,9 @@
 // Take hands a request to the core; until Done no further message is read. An error says that it is unfit, and that
 // nothing was taken.
 func (c *Conn) Take(q router.Request, to router.Client) (err error) {
+	q.Tenant, q.Client = c.user, c.from
 	if !c.Hold(c.size) {
+		c.front.core.Turn(q, roomAfter)
 		return errRoom
 	}
 	if c.request, err = c.front.core.Take(q, to); err != nil {
@@ -430,13 +444,16 @@
 	return err
 }
 
+// roomAfter is when a client may come again for which there was no room.
+const roomAfter = 100 * time.Millisecond
+
 // errRoom is no fault of the client's: it may come again.
 var errRoom = errors.New("no room to keep the statement")
 
 // Unfit is the error of a request that Take has not taken.
 func Unfit(err error) pgwire.Error {
 	if err == errRoom {
-		return Refusal(100 * time.Millisecond)
+		return Refusal(roomAfter)
 	}
 	return pgwire.Error{Code: pgwire.BadStatement, Message: err.Error()}
 }
@@ -464,7 +481,7 @@
 var errStart = errors.New("unsupported startup message")
 
 func (c *Conn) startup(body []byte) error {
-	code, _, err := pgwire.Startup(body)
+	code, params, err := pgwire.Startup(body)
 	switch {
 	case err != nil:
 		return err
@@ -477,6 +494,10 @@
 	case code>>16 != 3:
 		return errStart
 	}
+	if c.front.named {
+		user := params["user"]
+		c.user, c.from = strings.Clone(user[:min(len(user), nameMost)]), c.sock.Remote()
+	}
 	c.started = true
 	c.reader.Started()
 	c.Write(pgwire.AppendWelcome(nil))
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -25,11 +25,15 @@
 type core struct {
 	loop  *loop.Loop
 	taken atomic.Int32
+
+	turned atomic.Int32
 	left  chan string
 
 	source *source
 }
 
+func (k *core) Turn(router.Request, time.Duration) { k.turned.Add(1) }
+
 func (k *core) Take(q router.Request, c router.Client) (string, error) {
 	if q.Class == "odd" {
 		return "", router.ErrClass
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -39,8 +39,12 @@
 	ListBytes    int // bytes of an answer of discovery
 	ListHeader   int // bytes of its header
 	LogText      int // bytes of a log line of the decision module
-	SyslogQueue  int // events waiting to be sent
-	SyslogBytes  int // bytes of one event
+	AuditRecords int // records that wait to become messages
+	AuditBytes   int // bytes of them
+	AuditHeads   int // messages from one head of the chain to the next
+	SyslogWindow int // bytes of messages that wait in memory, or are not acknowledged
+	SpoolSegment int // bytes of one segment of the spool
+	SpoolBytes   int // bytes of all of it
 	StoreQueue   int // writes waiting to be replicated
 	StoreEntries int // entries kept in the store's log before it is cut
 
@@ -75,6 +79,15 @@
 	DrainMost    time.Duration // the program ends at the latest this long after SIGTERM
 	Sweep        time.Duration // how often idle connections are looked at
 	Report       time.Duration // how often the counters are logged
+	AuditGather  time.Duration // how often it is looked for records
+	AuditTick    time.Duration // how often losses are told
+	AuditEvery   time.Duration // the longest time from one head of the chain to the next
+	SyslogUp     time.Duration // until a collector is connected
+	SyslogStall  time.Duration // until it takes more
+	SyslogFirst  time.Duration // the first wait behind a failure
+	SyslogLast   time.Duration // the longest
+	SyslogPrefer time.Duration // how often a preferred collector is tried again
+	SyslogFlush  time.Duration // how long the program's end waits for collectors
 	Share        time.Duration // how often what is shared with another process is looked at
 }
 
@@ -91,6 +104,7 @@
 // than a half.
 func (l Limits) Lean() Limits {
 	l.Memory, l.Garbage, l.Buffered = l.Memory/2, 100, l.Buffered/2
+	l.AuditRecords, l.AuditBytes, l.SyslogWindow = l.AuditRecords/2, l.AuditBytes/2, l.SyslogWindow/2
 	l.Clients, l.Connections, l.IdleMachine = l.Clients*2/3, l.Connections/2, max(2, l.IdleMachine/2)
 	return l
 }
@@ -116,7 +130,8 @@
 		Operators: operators, CallBytes: 16 << 10,
 		Clients: free * 7 / 10, ClientsEasy: sockets / 8, ClientsTight: sockets / 5, Unread: most + 256<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Listed: 10_000, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
-		SyslogQueue: 256, SyslogBytes: 2048, StoreQueue: 64, StoreEntries: 1024,
+		AuditRecords: memoryMB << 20 / 32 / 512, AuditBytes: memoryMB << 20 / 32, AuditHeads: 256, SyslogWindow: memoryMB << 20 / 64,
+		SpoolSegment: 256 << 10, SpoolBytes: 64 << 20, StoreQueue: 64, StoreEntries: 1024,
 
 		Connect: connect, Redial: connect * 2 / 5, Probe: connect, Rest: 2 * time.Millisecond, Stall: connect, StreamStall: 10 * time.Second, Idle: idle * 3 / 4,
 		AnswerBefore: 10 * time.Millisecond, Flush: 2 * time.Second, ComeAgain: time.Second,
@@ -129,6 +144,9 @@
 		CallWhole: 2 * time.Second, EmptyIdle: time.Second,
 		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, ListFirst: time.Second,
 		DrainAccept: 500 * time.Millisecond, DrainMost: longest + 600*time.Millisecond, Sweep: time.Second, Report: 10 * time.Second,
-		Share: 100 * time.Millisecond,
+		AuditGather: 10 * time.Millisecond, AuditTick: 250 * time.Millisecond, AuditEvery: 10 * time.Second, SyslogUp: 3 * time.Second,
+		SyslogStall: 5 * time.Second, SyslogFirst: 100 * time.Millisecond, SyslogLast: 10 * time.Second, SyslogPrefer: time.Minute,
+		SyslogFlush: time.Second,
+		Share:       100 * time.Millisecond,
 	}
 }
--- a/internal/router/book.go
+++ b/internal/router/book.go
@@ -23,8 +23,9 @@
 	if slices.Contains([]balance.Status{balance.Error, balance.TimedOut, balance.Reset, balance.Cancelled}, res.Status) {
 		q.mayRun = true
 	}
+	r.ended(q, res.Status)
 	if res.Status == balance.Done {
-		r.serve(q, res.Answer)
+		r.serve(q, res.Answer, res.Code)
 	} else if q.began {
 		r.cut(q)
 	}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -4,16 +4,18 @@
 	"time"
 
 	"limeladder/balance"
+	"limeladder/internal/audit"
 )
 
 // The final answers. Each request gets one of them, once.
 
-func (r *Router) serve(q *request, a Answer) {
+func (r *Router) serve(q *request, a Answer, code string) {
 	if q.over {
 		return
 	}
 	r.end(q)
 	r.count.Served++
+	r.answered(q, audit.Served, audit.Answer{Code: code})
 	q.client.Served(a)
 	r.forget(q)
 }
@@ -38,7 +40,7 @@
 	r.end(q)
 	r.count.Failed++
 	r.log.Debug("cut", "request", q.Label, "class", q.Class, "after", r.loop.Now()-q.At)
-	r.events.Event("failed", "request", q.Label, "class", q.Class, "why", "its answer broke off")
+	r.answered(q, audit.Cut, audit.Answer{Why: "its answer broke off"})
 	q.client.Cut()
 	r.forget(q)
 }
@@ -53,6 +55,7 @@
 	if after <= 0 {
 		after = r.lim.ComeAgain // a refusal always says when to come back
 	}
+	r.answered(q, audit.Refused, audit.Answer{Retry: after})
 	q.client.Refused(after)
 	r.forget(q)
 }
@@ -64,7 +67,7 @@
 	r.end(q)
 	r.count.Failed++
 	r.log.Debug("failed", "request", q.Label, "class", q.Class, "tries", q.tries, "after", r.loop.Now()-q.At, "why", why)
-	r.events.Event("failed", "request", q.Label, "class", q.Class, "why", why)
+	r.answered(q, audit.Failed, audit.Answer{Why: why})
 	q.client.Failed(why)
 	r.forget(q)
 }
--- a/internal/router/route.go
+++ b/internal/router/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"limeladder/balance"
+	"limeladder/internal/audit"
 )
 
 // List passes on what discovery has told.
@@ -51,9 +52,11 @@
 		r.wake = r.loop.After(a.In, func() { r.pending = append(r.pending, balance.Wake{}) })
 	case balance.Track:
 		r.watcher.Track()
+	case balance.Lead:
+		r.record(audit.Primary{Group: a.Group, Node: a.Node, Believed: a.Believed, Why: a.Why})
 	case balance.Log:
 		text := a.Text[:min(len(a.Text), r.lim.LogText)]
 		r.log.Info(text)
-		r.events.Event("decision", "text", text)
+		r.record(audit.Note{Topic: "decision", Text: text})
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limeladder/balance"
+	"limeladder/internal/audit"
 	"limeladder/internal/limits"
 	"limeladder/internal/loop"
 )
@@ -47,6 +48,8 @@
 	After    time.Duration // a position that it has to see, 0 = none
 	Retry    bool
 	Job      Job
+	Tenant   string // whose request it is, for the record; "" = not known
+	Client   string // and from where
 }
 
 // Attempt is one try at one db machine.
@@ -66,6 +69,7 @@
 	Role     balance.Role
 	Position time.Duration
 	Answer   Answer
+	Code     string        // the error that the answer passes on, "" = none
 	At       time.Duration // when its answer began to come, 0 = none did
 }
 
@@ -85,9 +89,9 @@
 // Watcher follows the list of db machines.
 type Watcher interface{ Track() }
 
-// Events takes what is worth telling outside; it never blocks.
-type Events interface {
-	Event(name string, pairs ...string)
+// Audit takes what is recorded. Record never blocks and makes no system call.
+type Audit interface {
+	Record(e audit.Event)
 }
 
 // Router owns the decision module and all requests in hand.
@@ -98,7 +102,7 @@
 	module  *balance.Router
 	servers Servers
 	watcher Watcher
-	events  Events
+	audit   Audit // nil = nothing is recorded
 	classes map[string]balance.Class
 
 	pending []balance.Event
@@ -123,15 +127,19 @@
 	sentAt time.Duration
 	began  bool // its answer is passed on as it comes
 	over   bool // answered, or its client has left
+
+	attempts []audit.Attempt // those that have ended, where there is a record
+	firstAt  time.Duration   // when the first one began
+	worked   time.Duration
 }
 
-// New returns a Router that has yet to hear of any db machine.
-func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, cfg balance.Config, seed uint64, ev Events) (*Router, error) {
+// New returns a Router that has yet to hear of any db machine. With a nil Audit nothing is recorded.
+func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, cfg balance.Config, seed uint64, a Audit) (*Router, error) {
 	m, err := balance.New(cfg, seed)
 	if err != nil {
 		return nil, err
 	}
-	r := &Router{loop: l, lim: lim, log: log, module: m, events: ev, classes: map[string]balance.Class{},
+	r := &Router{loop: l, lim: lim, log: log, module: m, audit: a, classes: map[string]balance.Class{},
 		inHand: map[string]*request{}, open: map[string]bool{}}
 	for _, c := range cfg.Classes {
 		r.classes[c.Name] = c
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -13,6 +13,9 @@
 		return
 	}
 	q.node, q.sentAt = a.Node, r.loop.Now()
+	if leg == 0 {
+		q.firstAt = q.sentAt
+	}
 	ended := false // the servers may report the end before Start returns
 	call := r.servers.Start(Attempt{Node: a.Node, Job: q.Job, Until: q.dieAt, By: a.By, Begun: func(a Answer, f Flow) {
 		r.begin(q, leg, a, f)
--- a/internal/router/takein.go
+++ b/internal/router/takein.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"limeladder/balance"
+	"limeladder/internal/audit"
 )
 
 // What makes a request unfit: it is turned away before anything is kept of it.
@@ -41,6 +42,13 @@
 	return t.id, nil
 }
 
+// Turn enters a request that its front has refused for want of room: no client's answer goes unrecorded.
+func (r *Router) Turn(q Request, after time.Duration) {
+	r.count.Taken++
+	r.count.Refused++
+	r.answered(&request{Request: q}, audit.Refused, audit.Answer{Retry: after})
+}
+
 // end notes that a request is owed nothing any more.
 func (r *Router) end(q *request) {
 	q.over = true
@@ -59,6 +67,7 @@
 	}
 	r.end(q)
 	r.count.Left++
+	r.answered(q, audit.Left, audit.Answer{})
 	r.leave(q)
 	if r.classes[q.Class].Effect == balance.Safe {
 		r.cancel(q, balance.Cancelled)
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -347,7 +347,7 @@
 		r.Status = balance.Miss
 	case k.code != "" && strings.Contains("21 22 23 26 34 42 44 0A", k.code[:2]):
 		k.answer.Code = k.code
-		r.Status, r.Answer = balance.Done, k.answer
+		r.Status, r.Answer, r.Code = balance.Done, k.answer, k.code
 	default:
 		r.Status = balance.Error
 	}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -229,6 +229,9 @@
 	c.took(0)
 }
 
+// Remote is the other end's address.
+func (c *Conn) Remote() string { return c.nb.RemoteAddr().String() }
+
 // Progress is the number of bytes the system has taken so far.
 func (c *Conn) Progress() int64 { return c.sent.Load() }
 
--- /dev/null
+++ b/internal/syslog/sender.go
@@ -0,0 +1,587 @@
+package syslog
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"limeladder/internal/spool"
+)
+
+// Options bound a Sender. All times and sizes come from the program's limits and the operators' file.
+type Options struct {
+	Collectors []Collector
+	TLS        *tls.Config
+	Seed       uint64
+
+	Window int // bytes of messages that are kept in memory: those to be sent, and those not yet acknowledged
+	Repeat int // bytes of acknowledged messages that are sent again behind a connection that broke, 0 = none
+
+	Spool  string // a folder; "" = none
+	Name   string // of this process's own folder in it
+	Disk   spool.Options
+	Replay int // messages a second from the spool, 0 = no such limit
+
+	Connect time.Duration // until a connection stands, its handshake included
+	Stall   time.Duration // until a chunk is taken
+	First   time.Duration // the first wait behind a failure,
+	Last    time.Duration // and the longest
+	Prefer  time.Duration // how often a collector in front of the one in use is tried
+}
+
+// chunk is what one write carries: with TLS one record, which arrives whole or not at all.
+const chunk = 16 << 10
+
+// finishing is how long the end of a connection waits for acknowledgements.
+const finishing = 500 * time.Millisecond
+
+// adopting is how often it is looked for what a process that has died has left.
+const adopting = 5 * time.Second
+
+// Stats is what a Sender has done. It may be read from any goroutine.
+type Stats struct {
+	Sent      uint64 // messages that were delivered, as far as the transport tells
+	Repeated  uint64 // of them, those that may have been delivered before
+	Connects  uint64
+	Spooled   uint64 // messages that went to the spool
+	Lost      uint64 // messages that were given up at the end
+	SpoolErrs uint64 // times that the disk refused
+	Skipped   uint64 // bytes of the spool that were no whole record
+	Connected bool
+}
+
+// Sender carries messages to the first collector that takes them, in order. Put is called by one goroutine; what it
+// takes waits in memory and then in the spool, and where there is no room it takes nothing.
+type Sender struct {
+	opt    Options
+	log    *slog.Logger
+	wake   chan struct{}
+	quit   chan struct{}
+	done   chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
+	start  time.Time
+
+	mu      sync.Mutex // never taken by the loop's goroutine
+	waiting [][]byte   // oldest first; older than all that is in the spool
+	bytes   int        // of waiting and of flight
+	own     *spool.Spool
+	broken  time.Time // the disk has refused: it is not tried again before this
+	left    []*spool.Spool
+	change  *change
+	link    *link // for Close, which cuts its writes short
+	until   time.Time
+
+	// owned by run
+	flight  []flight
+	recent  [][]byte // acknowledged ones, at most Repeat bytes
+	kept    int
+	turn    Failover
+	using   int
+	frame   []byte
+	tokens  float64
+	filled  time.Time
+	synced  time.Time
+	adopted time.Time
+
+	sent, repeated, connects, spooled, lost, errs, skipped atomic.Uint64
+	connected                                              atomic.Bool
+}
+
+type change struct {
+	collectors []Collector
+	tls        *tls.Config
+}
+
+// flight is a chunk that is written and not acknowledged.
+type flight struct {
+	msgs [][]byte
+	from *spool.Spool // nil = memory
+	off  int64        // there, where its first message starts
+	ends []int64      // where each message ends on the connection; one entry for a chunk of TLS
+}
+
+// NewSender starts to send. It finds what earlier processes have left in the spool.
+func NewSender(opt Options, log *slog.Logger) (*Sender, error) {
+	s := &Sender{opt: opt, log: log, wake: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}),
+		start: time.Now(), using: -1, filled: time.Now(), adopted: time.Now()}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.turn = *NewFailover(len(opt.Collectors), opt.Seed, opt.First, opt.Last)
+	if opt.Spool != "" {
+		var err error
+		if s.left, err = spool.Adopt(opt.Spool, opt.Disk); err != nil {
+			return nil, err
+		}
+		if s.own, err = spool.Create(opt.Spool, opt.Name, opt.Disk); err != nil {
+			return nil, err
+		}
+	}
+	go s.run()
+	return s, nil
+}
+
+// Put takes messages in order, and says how many. It keeps them; it may wait for the disk, never for a collector.
+func (s *Sender) Put(msgs [][]byte) int {
+	s.mu.Lock()
+	n := 0
+	for n < len(msgs) && (s.own == nil || s.own.Empty()) && s.bytes+len(msgs[n]) <= s.opt.Window {
+		s.waiting = append(s.waiting, msgs[n])
+		s.bytes += len(msgs[n])
+		n++
+	}
+	if n < len(msgs) && s.own != nil && !time.Now().Before(s.broken) {
+		k, err := s.own.Append(msgs[n:])
+		s.spooled.Add(uint64(k))
+		n += k
+		if err != nil && err != spool.ErrFull {
+			s.fault(err)
+		}
+	}
+	s.mu.Unlock()
+	if n > 0 {
+		s.nudge()
+	}
+	return n
+}
+
+// fault notes that the disk has refused. Guards against asking a full disk for each message.
+func (s *Sender) fault(err error) {
+	s.errs.Add(1)
+	s.broken = time.Now().Add(time.Second)
+	s.log.Warn("syslog: spool", "err", err)
+}
+
+func (s *Sender) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Stats returns what was done so far.
+func (s *Sender) Stats() Stats {
+	return Stats{Sent: s.sent.Load(), Repeated: s.repeated.Load(), Connects: s.connects.Load(), Spooled: s.spooled.Load(),
+		Lost: s.lost.Load(), SpoolErrs: s.errs.Load(), Skipped: s.skipped.Load(), Connected: s.connected.Load()}
+}
+
+// Change sets other collectors; what is on its way to an old one is finished first.
+func (s *Sender) Change(c []Collector, t *tls.Config) {
+	s.mu.Lock()
+	s.change = &change{c, t}
+	s.mu.Unlock()
+	s.nudge()
+}
+
+// Close sends what waits for at most so long. What is left then goes to the spool, or is counted as lost.
+func (s *Sender) Close(within time.Duration) {
+	until := time.Now().Add(within)
+	end := time.AfterFunc(within, s.cancel)
+	defer end.Stop()
+	s.mu.Lock()
+	s.until = until // run reads it only once quit is closed
+	if s.link != nil {
+		s.link.raw.SetWriteDeadline(until)
+	}
+	s.mu.Unlock()
+	close(s.quit)
+	<-s.done
+	s.cancel()
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rest := s.waiting
+	if s.own != nil {
+		if err := s.own.Front(rest); err == nil {
+			rest = nil
+		} else {
+			s.log.Warn("syslog: spool", "err", err)
+		}
+		s.skipped.Add(uint64(s.own.Skipped()))
+		if err := s.own.Close(); err != nil {
+			s.log.Warn("syslog: spool", "err", err)
+		}
+	}
+	for _, o := range s.left {
+		o.Close()
+	}
+	s.lost.Add(uint64(len(rest)))
+	s.waiting, s.bytes = nil, 0
+}
+
+// ending says whether Close was called, and whether its time is over.
+func (s *Sender) ending() (closing, over bool) {
+	select {
+	case <-s.quit:
+		return true, s.ctx.Err() != nil
+	default:
+		return false, false
+	}
+}
+
+// run is the goroutine that talks to collectors.
+func (s *Sender) run() {
+	defer close(s.done)
+	var k *link
+	defer func() {
+		if k != nil {
+			s.drop(k, true)
+		}
+	}()
+	for {
+		closing, over := s.ending()
+		if over {
+			return
+		}
+		if s.changed() && k != nil {
+			s.drop(k, true)
+			k = nil
+		}
+		s.sync()
+		if k == nil {
+			if closing && s.idle() {
+				return
+			}
+			if k = s.connect(); k == nil {
+				continue
+			}
+		}
+		s.settle(k)
+		if k.ended.Load() {
+			s.failed(k, nil)
+			k = nil
+			continue
+		}
+		if time.Since(k.since) > s.opt.Stall {
+			s.turn.Held(s.using)
+		}
+		if s.using > 0 && time.Since(k.since) > s.opt.Prefer && s.turn.Better(s.using, time.Since(s.start)) {
+			s.drop(k, true)
+			k = nil
+			continue
+		}
+		f, wait := s.next()
+		if f == nil {
+			if closing && s.idle() {
+				return
+			}
+			s.pause(wait)
+			continue
+		}
+		if err := s.send(k, f); err != nil {
+			s.failed(k, err)
+			k = nil
+		}
+	}
+}
+
+// pause waits for something to do.
+func (s *Sender) pause(most time.Duration) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	quit := s.quit
+	if closing, _ := s.ending(); closing {
+		quit = nil
+	}
+	select {
+	case <-s.wake:
+	case <-t.C:
+	case <-quit:
+	case <-s.ctx.Done():
+	}
+}
+
+// idle says whether nothing waits that could be sent.
+func (s *Sender) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiting) == 0 && len(s.flight) == 0 && (s.own == nil || s.own.Empty())
+}
+
+func (s *Sender) changed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.change == nil {
+		return false
+	}
+	s.opt.Collectors, s.opt.TLS, s.change = s.change.collectors, s.change.tls, nil
+	s.turn = *NewFailover(len(s.opt.Collectors), s.opt.Seed, s.opt.First, s.opt.Last)
+	return true
+}
+
+// connect tries the next collector, or waits until one may be tried.
+func (s *Sender) connect() *link {
+	now := time.Since(s.start)
+	i, wait := s.turn.Next(now)
+	if i < 0 {
+		s.pause(min(wait, time.Second))
+		return nil
+	}
+	c := s.opt.Collectors[i]
+	k, err := dial(s.ctx, c, s.opt.TLS, s.opt.Connect, s.opt.Window)
+	if err != nil {
+		s.turn.Failed(i, time.Since(s.start))
+		if s.ctx.Err() == nil {
+			s.log.Warn("syslog: no connection", "collector", c.String(), "err", err)
+		}
+		return nil
+	}
+	s.using = i
+	s.connects.Add(1)
+	s.connected.Store(true)
+	if !k.udp {
+		s.log.Info("syslog: connected", "collector", c.String())
+	}
+	s.mu.Lock()
+	s.link = k
+	s.mu.Unlock()
+	return k
+}
+
+// next picks what goes out next: what waits in memory, then the process's own spool, then what others have left.
+func (s *Sender) next() (f *flight, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait = 50 * time.Millisecond
+	if len(s.flight) > 0 {
+		wait = 2 * time.Millisecond
+	}
+	if n, size := 0, 0; len(s.waiting) > 0 {
+		for n < len(s.waiting) && (n == 0 || size+len(s.waiting[n])+8 <= chunk) {
+			size += len(s.waiting[n]) + 8
+			n++
+		}
+		f = &flight{msgs: s.waiting[:n:n]}
+		s.waiting = s.waiting[n:]
+		if len(s.waiting) == 0 {
+			s.waiting = nil
+		}
+		return f, 0
+	}
+	now := time.Now()
+	most := 1 << 20
+	if s.opt.Replay > 0 {
+		s.tokens = min(float64(s.opt.Replay), s.tokens+now.Sub(s.filled).Seconds()*float64(s.opt.Replay))
+		most = int(s.tokens)
+	}
+	s.filled = now
+	for _, from := range append([]*spool.Spool{s.own}, s.left...) {
+		if from == nil || most == 0 {
+			continue
+		}
+		msgs, err := from.Next(nil, min(most, chunk/64), chunk-1024)
+		if err != nil {
+			s.fault(err)
+			continue
+		}
+		if len(msgs) == 0 {
+			continue
+		}
+		s.tokens -= float64(len(msgs))
+		f = &flight{msgs: msgs, from: from, off: from.Reading()}
+		for _, m := range msgs {
+			f.off -= int64(len(m) + spool.Overhead)
+		}
+		return f, 0
+	}
+	s.tidy()
+	return nil, wait
+}
+
+// tidy lets go of folders that others have left and that are delivered.
+func (s *Sender) tidy() {
+	rest := s.left[:0]
+	for _, o := range s.left {
+		if o.Empty() {
+			s.skipped.Add(uint64(o.Skipped()))
+			o.Remove()
+		} else {
+			rest = append(rest, o)
+		}
+	}
+	clear(s.left[len(rest):])
+	s.left = rest
+}
+
+// send writes a chunk.
+func (s *Sender) send(k *link, f *flight) error {
+	if k.udp {
+		n, err := k.packets(f.msgs)
+		s.arrived(f, n)
+		if err != nil {
+			f.msgs = f.msgs[n:]
+			s.again([]flight{*f}, nil)
+		}
+		return err
+	}
+	s.frame = s.frame[:0]
+	at := k.wrote.n
+	_, secret := k.conn.(*tls.Conn)
+	for _, m := range f.msgs {
+		s.frame = Frame(s.frame, m)
+		if !secret {
+			f.ends = append(f.ends, at+int64(len(s.frame)))
+		}
+	}
+	s.flight = append(s.flight, *f)
+	within := s.opt.Stall
+	if closing, _ := s.ending(); closing {
+		within = min(within, time.Until(s.until))
+	}
+	err := k.write(s.frame, within)
+	if secret {
+		// A record that was not written whole has not arrived.
+		s.flight[len(s.flight)-1].ends = []int64{k.wrote.n}
+		if err != nil {
+			s.flight[len(s.flight)-1].ends[0]++
+		}
+	}
+	return err
+}
+
+// settle books what is acknowledged.
+func (s *Sender) settle(k *link) {
+	if len(s.flight) == 0 {
+		return
+	}
+	acked := k.acked()
+	for len(s.flight) > 0 {
+		f := &s.flight[0]
+		n := 0
+		for n < len(f.ends) && f.ends[n] <= acked {
+			n++
+		}
+		if n > 0 && len(f.ends) == 1 {
+			n = len(f.msgs) // a chunk of TLS
+		}
+		s.arrived(f, n)
+		if n < len(f.msgs) {
+			f.msgs, f.ends = f.msgs[n:], f.ends[n:]
+			return
+		}
+		s.flight = s.flight[1:]
+	}
+	s.flight = nil
+}
+
+// arrived enters the first n messages of a chunk as delivered.
+func (s *Sender) arrived(f *flight, n int) {
+	if n == 0 {
+		return
+	}
+	s.sent.Add(uint64(n))
+	s.mu.Lock()
+	for _, m := range f.msgs[:n] {
+		if f.from == nil {
+			s.bytes -= len(m)
+		} else {
+			f.off += int64(len(m) + spool.Overhead)
+		}
+	}
+	if f.from != nil {
+		f.from.Delivered(f.off)
+	}
+	s.mu.Unlock()
+	if s.opt.Repeat > 0 {
+		for _, m := range f.msgs[:n] {
+			s.recent = append(s.recent, m)
+			s.kept += len(m)
+		}
+		for s.kept > s.opt.Repeat {
+			s.kept -= len(s.recent[0])
+			s.recent = s.recent[1:]
+		}
+	}
+}
+
+// again puts back what has not arrived, oldest first, and in front of it what is repeated.
+func (s *Sender) again(rest []flight, repeat [][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var front [][]byte
+	for _, m := range repeat {
+		front = append(front, m)
+		s.bytes += len(m)
+	}
+	for _, f := range rest {
+		if f.from != nil {
+			f.from.Again()
+			continue
+		}
+		front = append(front, f.msgs...)
+	}
+	s.waiting = append(front, s.waiting...)
+}
+
+// failed ends a connection that broke; nil is the collector's own close.
+func (s *Sender) failed(k *link, err error) {
+	s.turn.Failed(s.using, time.Since(s.start))
+	if !k.udp {
+		s.log.Warn("syslog: connection ended", "collector", s.opt.Collectors[s.using].String(), "err", fmt.Sprint(err))
+	}
+	s.drop(k, false)
+}
+
+// drop ends a connection and puts back what had not arrived. finish says that all is well with it: what is written is
+// waited for.
+func (s *Sender) drop(k *link, finish bool) {
+	s.mu.Lock()
+	s.link = nil
+	s.mu.Unlock()
+	s.connected.Store(false)
+	if k.udp {
+		k.raw.Close()
+		return
+	}
+	orderly := finish || k.ended.Load() && k.orderly.Load()
+	if orderly {
+		within := min(s.opt.Stall, finishing)
+		if _, over := s.ending(); over {
+			within = finishing / 10
+		}
+		k.finish(within)
+	}
+	s.settle(k)
+	k.raw.Close()
+	var repeat [][]byte
+	if !orderly {
+		// What the other system has acknowledged its program may never have read.
+		repeat = s.recent
+		s.repeated.Add(uint64(len(repeat)))
+	}
+	s.recent, s.kept = nil, 0
+	rest := s.flight
+	s.flight = nil
+	s.again(rest, repeat)
+}
+
+// sync hands the spool to the disk once a second.
+func (s *Sender) sync() {
+	if s.own == nil || time.Since(s.synced) < time.Second {
+		return
+	}
+	s.synced = time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.adopted) > adopting {
+		s.adopted = time.Now()
+		left, err := spool.Adopt(s.opt.Spool, s.opt.Disk)
+		if err != nil {
+			s.fault(err)
+		}
+		s.left = append(s.left, left...)
+	}
+	if err := s.own.Sync(); err != nil {
+		s.fault(err)
+	}
+	for _, o := range append([]*spool.Spool{s.own}, s.left...) {
+		if !o.Empty() {
+			if err := o.Keep(); err != nil {
+				s.fault(err)
+			}
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -276,6 +276,8 @@
 		case balance.Track:
 			on := true
 			w.Cmd, w.Active = "Track", &on
+		case balance.Lead:
+			continue // the simulator's wire has no word for it
 		case balance.Log:
 			w.Cmd, w.Text = "WriteLog", a.Text
 		}
