--- a/internal/audit/encode.go
+++ b/internal/audit/encode.go
@@ -119,7 +119,7 @@
 	e.n = e.n%(1<<31-1) + 1
 	b.Element("meta", false)
 	b.Uint(rankMeta, "sequenceId", e.n)
-	b.Int(rankMeta, "sysUpTime", int64(at.Sub(e.opt.Began)/(10*time.Millisecond)))
+	b.Int(rankMeta, "sysUpTime", max(0, int64(at.Sub(e.opt.Began)/(10*time.Millisecond))))
 	if e.opt.Quality != nil {
 		if at.Sub(e.asked).Abs() > 10*time.Second {
 			e.quality, e.asked = e.opt.Quality(), at
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -27,7 +27,7 @@
 	taken atomic.Int32
 
 	turned atomic.Int32
-	left  chan string
+	left   chan string
 
 	source *source
 }
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -324,7 +324,10 @@
 	for len(s.segs) > 0 && count > 0 && bytes > 0 {
 		g := s.segs[0]
 		if s.reading >= g.size {
-			return out, nil // the next segment only once this one is delivered
+			if s.skip(); len(s.segs) > 0 && s.segs[0].n == g.n {
+				return out, nil // the next segment only once this one is delivered
+			}
+			continue
 		}
 		msg, n, err := s.at(s.reading)
 		if err != nil {
