--- a/cmd/limeladder/record.go
+++ b/cmd/limeladder/record.go
@@ -139,7 +139,7 @@
 
 // listed records a list, and the db machines that it takes out or lets back in.
 func (r *recording) listed(l config.List, kind balance.ListKind) {
-	if r == nil || len(l.Servers) == 0 && kind == balance.ListDelta {
+	if r == nil || len(l.Servers) == 0 && kind != balance.ListFull {
 		return
 	}
 	e := audit.List{Version: l.Version, Full: kind != balance.ListDelta}
--- a/internal/standin/collector/collector.go
+++ b/internal/standin/collector/collector.go
@@ -29,6 +29,9 @@
 	Silent  bool          // it accepts, and never reads; with TLS the handshake never ends
 }
 
+// settle is how long no datagram comes before a collector that stops closes its socket.
+const settle = 20 * time.Millisecond
+
 // Collector is one.
 type Collector struct {
 	opt    Options
@@ -101,7 +104,7 @@
 		c.ln.Close()
 	}
 	if c.pc != nil {
-		c.pc.SetReadDeadline(time.Now()) // what has come is read first
+		c.pc.SetReadDeadline(time.Now().Add(settle)) // what has come is read first
 	}
 	c.ln, c.pc = nil, nil
 	for conn := range c.open {
@@ -212,6 +215,11 @@
 		if err != nil {
 			return
 		}
+		c.mu.Lock()
+		if c.stopped {
+			pc.SetReadDeadline(time.Now().Add(settle))
+		}
+		c.mu.Unlock()
 		c.keep(append([]byte(nil), buf[:n]...))
 	}
 }
--- a/internal/syslog/sender.go
+++ b/internal/syslog/sender.go
@@ -19,7 +19,7 @@
 	Seed       uint64
 
 	Window int // bytes of messages that are kept in memory: those to be sent, and those not yet acknowledged
-	Repeat int // bytes of acknowledged messages that are sent again behind a connection that broke, 0 = none
+	Repeat int // bytes of acknowledged messages that are sent again behind a connection that was reset, 0 = none
 
 	Spool  string // a folder; "" = none
 	Name   string // of this process's own folder in it
@@ -80,6 +80,7 @@
 	flight  []flight
 	recent  [][]byte // acknowledged ones, at most Repeat bytes
 	kept    int
+	short   int // connections that were reset soon, one after the other
 	turn    Failover
 	using   int
 	frame   []byte
@@ -127,18 +128,14 @@
 // Put takes messages in order, and says how many. It keeps them; it may wait for the disk, never for a collector.
 func (s *Sender) Put(msgs [][]byte) int {
 	s.mu.Lock()
-	n := 0
-	for n < len(msgs) && (s.own == nil || s.own.Empty()) && s.bytes+len(msgs[n]) <= s.opt.Window {
-		s.waiting = append(s.waiting, msgs[n])
-		s.bytes += len(msgs[n])
-		n++
-	}
-	if n < len(msgs) && s.own != nil && !time.Now().Before(s.broken) {
+	n := s.remember(msgs)
+	if n < len(msgs) && s.own != nil && !s.failing() {
 		k, err := s.own.Append(msgs[n:])
 		s.spooled.Add(uint64(k))
 		n += k
 		if err != nil && err != spool.ErrFull {
 			s.fault(err)
+			n += s.remember(msgs[n:])
 		}
 	}
 	s.mu.Unlock()
@@ -148,6 +145,23 @@
 	return n
 }
 
+// remember keeps messages in memory, as far as there is room. Guards against a SIGKILL: with a spool that works memory
+// holds only what is on its way, and while nobody takes it nothing.
+func (s *Sender) remember(msgs [][]byte) (n int) {
+	if s.own != nil && (!s.own.Empty() || s.link == nil && !s.failing()) {
+		return 0
+	}
+	for n < len(msgs) && s.bytes+len(msgs[n]) <= s.opt.Window {
+		s.waiting = append(s.waiting, msgs[n])
+		s.bytes += len(msgs[n])
+		n++
+	}
+	return n
+}
+
+// failing says that the disk has refused a moment ago.
+func (s *Sender) failing() bool { return time.Now().Before(s.broken) }
+
 // fault notes that the disk has refused. Guards against asking a full disk for each message.
 func (s *Sender) fault(err error) {
 	s.errs.Add(1)
@@ -257,6 +271,7 @@
 		}
 		if time.Since(k.since) > s.opt.Stall {
 			s.turn.Held(s.using)
+			s.short = 0
 		}
 		if s.using > 0 && time.Since(k.since) > s.opt.Prefer && s.turn.Better(s.using, time.Since(s.start)) {
 			s.drop(k, true)
@@ -514,6 +529,23 @@
 		front = append(front, f.msgs...)
 	}
 	s.waiting = append(front, s.waiting...)
+	s.shelve()
+}
+
+// shelve moves what waits in memory to the front of the spool, where it outlives the process.
+func (s *Sender) shelve() {
+	if s.own == nil || len(s.waiting) == 0 || s.link != nil || s.failing() {
+		return
+	}
+	if err := s.own.Front(s.waiting); err != nil {
+		s.fault(err)
+		return
+	}
+	for _, m := range s.waiting {
+		s.bytes -= len(m)
+	}
+	s.spooled.Add(uint64(len(s.waiting)))
+	s.waiting = nil
 }
 
 // failed ends a connection that broke; nil is the collector's own close.
@@ -534,6 +566,7 @@
 	s.connected.Store(false)
 	if k.udp {
 		k.raw.Close()
+		s.again(nil, nil)
 		return
 	}
 	orderly := finish || k.ended.Load() && k.orderly.Load()
@@ -549,7 +582,13 @@
 	var repeat [][]byte
 	if !orderly {
 		// What the other system has acknowledged its program may never have read.
+		// Guards against one that resets again and again before it has read what is repeated: it gets half as much each time,
+		// so that the newer ones come to it at all.
 		repeat = s.recent
+		for most := s.opt.Repeat >> min(s.short, 30); s.kept > most; repeat = repeat[1:] {
+			s.kept -= len(repeat[0])
+		}
+		s.short++
 		s.repeated.Add(uint64(len(repeat)))
 	}
 	s.recent, s.kept = nil, 0
