--- a/cmd/limeladder/record_test.go
+++ b/cmd/limeladder/record_test.go
@@ -22,7 +22,7 @@
 
 // rig is a router in a process of its own, with discovery, two db machines and collectors around it.
 type rig struct {
-	t      *testing.T
+	t      testing.TB
 	dir    string
 	addr   string
 	op     string
@@ -44,7 +44,7 @@
 	return ln.Addr().String()
 }
 
-func newRig(t *testing.T, act func(typ byte, id string) standin.Act) *rig {
+func newRig(t testing.TB, act func(typ byte, id string) standin.Act) *rig {
 	r := &rig{t: t, dir: t.TempDir(), news: make(chan bool, 9), a: standin.NewDB(t, true, act), b: standin.NewDB(t, false, act)}
 	r.list = fmt.Sprintf(`{"version":3,"full":true,"servers":[{"id":"s1","addr":%q,"zone":"a","cell":7,"state":"ready","mode":"read-write"},
 		{"id":"s2","addr":%q,"zone":"a","cell":7,"state":"ready"}]}`, r.a.Addr, r.b.Addr)
--- a/internal/audit/encode.go
+++ b/internal/audit/encode.go
@@ -42,7 +42,8 @@
 	first   uint64 // the first number since the last head, 0 = none
 	last    uint64
 	since   uint64 // messages since the last head
-	quality Quality
+	quality []byte // the element, nil = none
+	origin  []byte
 	asked   time.Time
 }
 
@@ -65,6 +66,7 @@
 	for i, name := range []string{"audit", "request", "answer", "event"} {
 		e.ids[i] = name + "@" + strconv.FormatUint(uint64(opt.Enterprise), 10)
 	}
+	e.origin = syslog.Prepared("origin", "software", opt.Software, "swVersion", opt.Version, "enterpriseId", strconv.FormatUint(uint64(opt.Enterprise), 10))
 	if opt.Key != nil {
 		var err error
 		if e.chain, err = newChain(*opt.Key); err != nil {
@@ -117,28 +119,22 @@
 func (e *Encoder) end(at time.Time, text string) []byte {
 	b := e.b
 	e.n = e.n%(1<<31-1) + 1
+	if e.opt.Quality != nil && at.Sub(e.asked).Abs() > 10*time.Second {
+		q := e.opt.Quality()
+		e.asked = at
+		pairs := []string{"tzKnown", "1", "isSynced", flag(q.Synced)}
+		if q.Synced && q.Accuracy > 0 {
+			pairs = append(pairs, "syncAccuracy", strconv.FormatInt(q.Accuracy.Microseconds(), 10))
+		}
+		e.quality = syslog.Prepared("timeQuality", pairs...)
+	}
 	b.Element("meta", false)
 	b.Uint(rankMeta, "sequenceId", e.n)
 	b.Int(rankMeta, "sysUpTime", max(0, int64(at.Sub(e.opt.Began)/(10*time.Millisecond))))
-	if e.opt.Quality != nil {
-		if at.Sub(e.asked).Abs() > 10*time.Second {
-			e.quality, e.asked = e.opt.Quality(), at
-		}
-		b.Element("timeQuality", false)
-		b.String(rankQuality, "tzKnown", "1")
-		if e.quality.Synced {
-			b.String(rankQuality, "isSynced", "1")
-			if e.quality.Accuracy > 0 {
-				b.Micros(rankQuality, "syncAccuracy", e.quality.Accuracy)
-			}
-		} else {
-			b.String(rankQuality, "isSynced", "0")
-		}
+	if e.quality != nil {
+		b.Fixed(rankQuality, e.quality)
 	}
-	b.Element("origin", false)
-	b.String(rankOrigin, "software", e.opt.Software)
-	b.String(rankOrigin, "swVersion", e.opt.Version)
-	b.Uint(rankOrigin, "enterpriseId", uint64(e.opt.Enterprise))
+	b.Fixed(rankOrigin, e.origin)
 	b.Text(text)
 	msg := b.End(e.opt.Most)
 	if e.chain != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -58,19 +58,44 @@
 }
 
 func TestDeploy(t *testing.T) {
-	if d, err := LoadDeploy("../../deploy/limeladder.toml"); err != nil || d.Extended.Listen != "" || d.Syslog.Address != "" || len(d.Store.Peers) > 0 {
+	if d, err := LoadDeploy("../../deploy/limeladder.toml"); err != nil || d.Extended.Listen != "" || d.Syslog.On() || len(d.Store.Peers) > 0 {
 		t.Fatalf("%+v %v: on the platform all of it is off", d, err)
 	}
 	if _, err := LoadDeploy("none.toml"); err != nil {
 		t.Fatal(err)
 	}
 	for text, field := range map[string]string{
-		"[extended]\nlisten = \"x\"":                                      "extended.listen:",
-		"[extended]\nlisen = \"127.0.0.1:1\"":                             "extended.lisen:",
-		"[syslog]\naddress = \"10.0.0.1:514\"":                            "syslog.address:",
-		"[store]\nname = \"a\"":                                           "store.folder:",
-		"[store]\nname = \"a\"\nfolder = \"f\"":                           "store.name:",
-		"[store]\nname = \"a\"\nfolder = \"f\"\n[store.peers]\na = \"x\"": "store.peers.a:",
+		"[extended]\nlisten = \"x\"":                                              "extended.listen:",
+		"[extended]\nlisen = \"127.0.0.1:1\"":                                     "extended.lisen:",
+		"[syslog]\naddress = \"10.0.0.1:514\"":                                    "syslog.address:",
+		"[syslog]\naddress = \"127.0.0.1:1\"\ncollectors = [\"udp://127.0.0.1\"]": "syslog.address:",
+		"[syslog]\ncollectors = [\"udp://127.0.0.1\", \"x\"]":                     "syslog.collectors[1]:",
+		"[syslog]\ncollectors = [\"tcp://10.0.0.1\"]":                             "syslog.collectors[0]:",
+		"[syslog]\ncollectors = [\"tcp://localhost\"]":                            "syslog.collectors[0]:",
+		"[syslog]\ncollectors = [\"tls://127.0.0.1\"]\nca = \"none\"":             "syslog.ca:",
+		"[syslog]\ncert = \"x\"":                                                  "syslog.cert:",
+		"[syslog]\nfacility = \"local8\"":                                         "syslog.facility:",
+		"[syslog]\nenterprise = -1":                                               "syslog.enterprise:",
+		"[syslog]\nhost = \"a b\"":                                                "syslog.host:",
+		"[syslog]\nbytes = 479":                                                   "syslog.bytes:",
+		"[syslog]\nrepeat = -1":                                                   "syslog.repeat:",
+		"[syslog.queue]\nrecords = 1":                                             "syslog.queue.records:",
+		"[syslog.queue]\nbytes = 1":                                               "syslog.queue.bytes:",
+		"[syslog.queue]\nflush = \"2m\"":                                          "syslog.queue.flush:",
+		"[syslog.queue]\nflush = \"x\"":                                           "d.toml:",
+		"[syslog.spool]\nbytes = 4194304":                                         "syslog.spool.folder:",
+		"[syslog.spool]\nfolder = \"f\"\nbytes = 1":                               "syslog.spool.bytes:",
+		"[syslog.spool]\nfolder = \"f\"\nreplay = -1":                             "syslog.spool.replay:",
+		"[audit]\nkeys = \"none\"":                                                "audit.keys:",
+		"[audit]\nkinds = [\"x\"]":                                                "audit.kinds:",
+		"[audit]\noutcomes = [\"x\"]":                                             "audit.outcomes:",
+		"[audit]\nreads = 1.5":                                                    "audit.reads:",
+		"[audit]\nreads = 0.5":                                                    "audit.reads:",
+		"[audit]\nheads = -1":                                                     "audit.heads:",
+		"[audit]\nheads_time = \"2h\"":                                            "audit.heads_time:",
+		"[store]\nname = \"a\"":                                                   "store.folder:",
+		"[store]\nname = \"a\"\nfolder = \"f\"":                                   "store.name:",
+		"[store]\nname = \"a\"\nfolder = \"f\"\n[store.peers]\na = \"x\"":         "store.peers.a:",
 	} {
 		path := filepath.Join(t.TempDir(), "d.toml")
 		os.WriteFile(path, []byte(text), 0o600)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -235,6 +235,26 @@
 		safe := c.status == balance.Busy || c.status == balance.ConnectFailed || c.status == balance.Skipped || c.status == balance.Miss
 		may[c.a.Job] = strings.HasPrefix(c.a.Job.(string), "job") && !safe
 	}
+	recorded, outcomes := map[string]*audit.Answer{}, map[audit.Outcome]int{}
+	for _, e := range p.events {
+		if a, ok := e.(*audit.Answer); ok {
+			if recorded[a.Request] != nil {
+				t.Fatalf("%s is recorded twice", a.Request)
+			}
+			recorded[a.Request] = a
+			outcomes[a.Outcome]++
+		}
+	}
+	if c := r.Counts(); len(recorded) != len(all) || uint64(outcomes[audit.Served]) != c.Served || uint64(outcomes[audit.Refused]) != c.Refused ||
+		uint64(outcomes[audit.Failed]) != c.Failed || uint64(outcomes[audit.Left]) != c.Left {
+		t.Fatalf("%d records of %d requests: %v, counted %+v", len(recorded), len(all), outcomes, c)
+	}
+	for id, a := range recorded {
+		if len(a.Attempts) == 0 && (a.Outcome == audit.Served || a.MayRun) || a.Writes != strings.HasPrefix(id, "job") ||
+			a.Outcome == audit.Refused && (a.Retry <= 0 || a.MayRun) || a.Outcome == audit.Failed && !a.MayRun && a.Writes || a.Total < a.Queued {
+			t.Fatalf("%s: %+v", id, a)
+		}
+	}
 	for i, o := range all {
 		want := 1
 		if left[i] {
--- a/internal/syslog/message.go
+++ b/internal/syslog/message.go
@@ -157,6 +157,27 @@
 	b.close(from, r)
 }
 
+// Fixed adds a whole element that was written before, such as Prepared returns; it goes as one.
+func (b *Builder) Fixed(r Rank, elem []byte) {
+	if b.elems > 0 {
+		b.buf = append(b.buf, ']')
+	}
+	from := len(b.buf)
+	b.buf = append(b.buf, elem...)
+	b.spans = append(b.spans, span{from: from, to: len(b.buf), elem: b.elems, rank: r, open: true})
+	b.elems++
+}
+
+// Prepared is an element for Fixed: names and values by turns.
+func Prepared(id string, pairs ...string) []byte {
+	p := append([]byte{'['}, id...)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		p = append(append(append(p, ' '), pairs[i]...), '=', '"')
+		p = append(AppendValue(p, pairs[i+1]), '"')
+	}
+	return p // the bracket is the Builder's
+}
+
 // Uint adds a number.
 func (b *Builder) Uint(r Rank, name string, v uint64) {
 	from := b.open(name)
@@ -225,11 +246,16 @@
 	for rank := b.top(); rank > Keep && need > 0; rank-- {
 		for i := len(b.spans) - 1; i >= 0 && need > 0; i-- {
 			s := &b.spans[i]
-			if s.open || s.rank != rank || s.to == s.from {
+			if s.open && s.rank == Keep || s.rank != rank || s.to == s.from {
 				continue
 			}
 			need -= s.to - s.from
 			gone++
+			if s.open { // a fixed element, and its bracket
+				s.to = s.from
+				need--
+				continue
+			}
 			b.drop(i, &need)
 		}
 	}
--- a/internal/syslog/sender.go
+++ b/internal/syslog/sender.go
@@ -81,6 +81,7 @@
 	recent  [][]byte // acknowledged ones, at most Repeat bytes
 	kept    int
 	short   int // connections that were reset soon, one after the other
+	still   int // times in a row that nothing new was acknowledged
 	turn    Failover
 	using   int
 	frame   []byte
@@ -362,7 +363,10 @@
 	defer s.mu.Unlock()
 	wait = 50 * time.Millisecond
 	if len(s.flight) > 0 {
-		wait = 2 * time.Millisecond
+		// Guards the loop's timers: where the program has one processor, whoever wakes it between two of them makes the next
+		// one late, since waiting is rounded to milliseconds. One that acknowledges nothing is looked at less and less.
+		wait = min(wait, 2*time.Millisecond<<min(s.still, 10))
+		s.still++
 	}
 	if n, size := 0, 0; len(s.waiting) > 0 {
 		for n < len(s.waiting) && (n == 0 || size+len(s.waiting[n])+8 <= chunk) {
@@ -488,6 +492,7 @@
 		return
 	}
 	s.sent.Add(uint64(n))
+	s.still = 0
 	s.mu.Lock()
 	for _, m := range f.msgs[:n] {
 		if f.from == nil {
