--- a/cmd/limeladder/record_bench_test.go
+++ b/cmd/limeladder/record_bench_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -23,6 +24,7 @@
 
 // BenchmarkRecordPath takes answers from the loop's side to a collector's socket, chained; on one core with -cpu 1.
 func BenchmarkRecordPath(b *testing.B) {
+	defer debug.SetGCPercent(debug.SetGCPercent(400)) // as the daemon does
 	for _, network := range []string{"udp", "tcp", "udp unread"} {
 		b.Run(network, func(b *testing.B) {
 			network, unread := strings.CutSuffix(network, " unread")
--- a/internal/audit/shipper.go
+++ b/internal/audit/shipper.go
@@ -30,6 +30,7 @@
 	once  sync.Once
 
 	recs    []Record
+	length  int // of a message, about
 	pending [][]byte
 	headAt  time.Time
 	lost    int // messages that were left at the end
@@ -121,13 +122,14 @@
 			}
 			return
 		}
-		var all []byte
+		all := make([]byte, 0, len(s.recs)*s.length)
 		ends := make([]int, 0, len(s.recs))
 		for i, r := range s.recs {
 			all = append(all, s.enc.Encode(r)...)
 			ends = append(ends, len(all))
 			s.recs[i] = Record{}
 		}
+		s.length = len(all)/len(s.recs) + 16
 		from := 0
 		for _, to := range ends {
 			s.pending = append(s.pending, all[from:to:to])
--- a/internal/syslog/link.go
+++ b/internal/syslog/link.go
@@ -181,6 +181,23 @@
 	}
 }
 
+// quiet waits until nothing new is acknowledged for so long, since an acknowledgement may be late (RFC 1122, section
+// 4.2.3.2); on a connection that is broken nothing comes at all.
+func (k *link) quiet(within time.Duration) {
+	end := time.Now().Add(5 * within) // one that reads slowly is not waited for
+	for last, since := k.acked(), time.Now(); !k.ended.Load() && time.Since(since) < within && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if now := k.acked(); now != last {
+			last, since = now, time.Now()
+		} else if now == k.wrote.n {
+			return
+		}
+	}
+}
+
+// abandon makes the close of a stream throw away what the other system has not acknowledged. What that has, its program
+// can still read.
+func (k *link) abandon() { k.raw.(*net.TCPConn).SetLinger(0) }
+
 // Frame appends the octet count of RFC 6587, section 3.4.1, and the message.
 func Frame(dst, msg []byte) []byte {
 	dst = strconv.AppendInt(dst, int64(len(msg)), 10)
