--- a/balance/api.go
+++ b/balance/api.go
@@ -145,6 +145,7 @@
 	SinceLast time.Duration // age of the session's last write, 0 = none
 	Estimate  time.Duration // expected work, 0 = not told
 	Retry     bool
+	Tried     int // attempts that it has used before, none of which ran
 }
 
 // Status is how an attempt or a probe ended.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -432,7 +432,8 @@
 		return
 	}
 	g := r.group(e.Group)
-	q := &request{id: e.ID, class: c, group: g, key: e.Key, at: r.now, worth: c.Worth}
+	q := &request{id: e.ID, class: c, group: g, key: e.Key, at: r.now, worth: c.Worth,
+		tried: e.Tried}
 	q.dieAt = r.now + e.Expires
 	// Danger: work for a client that comes back is lost once its aim has passed. Where retries are marked, a
 	// wait below the usual one was cut by the end of all its tries, so the rest of them has gone.
@@ -490,7 +491,7 @@
 	if q.over || q.out > 0 {
 		return
 	}
-	if q.mayRun && q.class.Effect == Unsafe || r.cfg.MostTries > 0 && len(q.tries) >= r.cfg.MostTries ||
+	if q.mayRun && q.class.Effect == Unsafe || r.cfg.MostTries > 0 && q.spent() >= r.cfg.MostTries ||
 		r.repeats < cost {
 		q.ended = true // answered in this step, once all events are read: the client may have left
 	} else {
--- a/balance/state.go
+++ b/balance/state.go
@@ -80,6 +80,7 @@
 	at                 Time // when it came
 	worth, rank        float64
 	tries              []*attempt
+	tried              int // before it was handed in again
 	missed             []*node
 	out                int
 	over, ended        bool // answered; given up on
@@ -89,6 +90,9 @@
 	ranZone            string
 }
 
+// spent is how many attempts a request has used.
+func (q *request) spent() int { return len(q.tries) + q.tried }
+
 type attempt struct {
 	req            *request
 	node           *node
@@ -207,6 +211,9 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// MostTries is how many attempts a request may have, 0 = any number.
+func (r *Router) MostTries() int { return r.cfg.MostTries }
+
 func (r *Router) do(a Action) { r.acts = append(r.acts, a) }
 
 func (r *Router) log(format string, args ...any) { r.do(Log{Text: fmt.Sprintf(format, args...)}) }
@@ -217,7 +224,8 @@
 	if g.primary == n && g.state == usable {
 		return false
 	}
-	g.primary, g.state = n, usable
+	// One that was lost and says again that it leads is tried at once: its group takes no writes elsewhere.
+	g.primary, g.state, n.trialAt = n, usable, min(n.trialAt, r.now)
 	r.log("group %d: primary is %s", g.id, n.id)
 	r.do(Lead{Group: g.id, Node: n.id, Believed: true})
 	return true
--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -92,6 +92,9 @@
 	if d.core, err = router.New(d.loop, d.lim, log, cfg.Balance, cfg.SeedValue, d.record.audit()); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if err := d.holdThrough(cfg); err != nil {
+		return nil, err
+	}
 	d.pool = servers.New(d.loop, d.engine, d.lim, log)
 	d.watcher = list.New(d.loop, d.engine, d.lim, log, cfg.Discovery, d)
 	d.core.Connect(d.pool, d.watcher)
@@ -122,6 +125,7 @@
 			d.empty(true, "another process")
 		}
 		d.listed(known, balance.ListCached)
+		d.hint()
 		first := d.lim.ListFirst
 		if d.lim.ListKnown && len(known.Servers) > 0 {
 			d.watcher.From(known.Version)
@@ -264,8 +268,11 @@
 	if l.Full {
 		kind = balance.ListFull
 	}
+	first := !d.told
 	d.told = true
-	d.listed(l, kind)
+	if d.listed(l, kind); first {
+		d.hint()
+	}
 	d.ready()
 	if l.Full {
 		d.keep("list", l)
--- /dev/null
+++ b/internal/changeover/model.go
@@ -0,0 +1,669 @@
+// Package changeover models the change of a bank's primary, holds the writes that come meanwhile, and lets them out to the
+// successor. It is pure: time is passed in, draws come from a seed, and what is to be done is returned as actions. It never
+// picks a server; it says when the decision module is asked.
+package changeover
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Phase is where the change of a bank's primary stands.
+type Phase uint8
+
+// The phases.
+const (
+	Steady Phase = iota
+	Suspected
+	Lost
+	HandingOver
+	SuccessorSeen
+	Settled
+)
+
+func (p Phase) String() string {
+	return []string{"steady", "suspected", "lost", "handing over", "successor seen", "settled"}[p]
+}
+
+// Evidence is what moves a bank from one phase to another.
+type Evidence uint8
+
+// The kinds of evidence.
+const (
+	NoEvidence   Evidence = iota
+	Refused               // a connection to the primary was refused, or broke
+	Silence               // it answers nothing, against its own pattern
+	ProbeFailed           // nor does it answer a probe
+	NoPrimary             // it says that it takes no writes (25006)
+	Doubted               // the module has come to doubt it
+	Draining              // the list says that it drains, or is gone
+	Barred                // operators have taken it out
+	Announced             // operators have announced a change
+	Answered              // it answers after all
+	Believed              // the module believes a primary
+	ReleasedAll           // what was held is out
+	Quiet                 // nothing has spoken against it for a while
+	LimitReached          // the time that operators gave has passed
+)
+
+func (e Evidence) String() string {
+	return []string{"none", "connection refused", "silence", "probe failed", "says replica", "doubted", "draining", "barred", "announced",
+		"answers again", "believed", "all released", "quiet", "time limit"}[e]
+}
+
+// Config bounds a Model.
+type Config struct {
+	Instances int // routers that share the banks
+	Classes   map[string]Class
+
+	Count int           // requests that are held, in all banks together
+	Bytes int           // of their statements
+	Time  time.Duration // the longest that one is held
+
+	Margin   time.Duration // before a client's deadline its answer has to be on its way
+	MaxAfter time.Duration // the longest return time that is told, 0 = no limit
+}
+
+// Class is one whose requests are held.
+type Class struct {
+	Worth float64
+	Work  time.Duration // what it takes until something is learned
+}
+
+// Request is one that asks for a primary.
+type Request struct {
+	ID       string
+	Bank     int64
+	Class    string
+	Client   string        // who is treated fairly; "" is one of its own
+	Deadline time.Duration // when its client gives up
+	Size     int
+}
+
+// Action is something the caller has to do, in order.
+type Action struct {
+	Kind  ActionKind
+	ID    string        // Release, GiveUp
+	Node  string        // Probe
+	Bank  int64         // Withdraw, Changed
+	After time.Duration // GiveUp: when to come back
+	Why   Reason        // GiveUp
+}
+
+// ActionKind tells actions apart.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	Release  ActionKind = iota // hand it to the module
+	GiveUp                     // it can't be served in time, or there is no room for it: answer at once
+	Probe                      // ask a member for a report
+	Withdraw                   // take back from the module what it holds for the bank's primary, and offer it again
+	Changed                    // the phase of a bank is another one
+)
+
+// Reason says why a held request was given up.
+type Reason uint8
+
+// The reasons.
+const (
+	TooLate Reason = iota // no answer could come in time any more
+	NoRoom                // over the bound, and the least valuable
+	TooLong               // held for as long as any may be
+	reasons
+)
+
+func (r Reason) String() string { return []string{"too late", "no room", "too long"}[r] }
+
+// The tuned constants.
+const (
+	patienceLeast = 60 * time.Millisecond  // silence is no evidence before
+	patienceDevs  = 6                      // deviations beyond the mean that an answer may take
+	patienceSlack = 2                      // times that
+	probeFirst    = 15 * time.Millisecond  // between rounds of probes while something is held, at first,
+	probeMost     = 50 * time.Millisecond  // and later: the goal is 60 ms at the median
+	probeGrow     = 1.15                   // from round to round
+	probeBudget   = 240                    // probes of one change for each member; then only
+	probeSlow     = 250 * time.Millisecond // so often, as when nothing is held
+	probeWait     = 400 * time.Millisecond // a probe that is not answered by then is taken for lost
+	suspectFor    = 120 * time.Millisecond // a suspicion that nothing lifts becomes a loss
+	windowFirst   = 8.0                    // released and not answered at first, over all routers
+	windowMost    = 256.0
+	settleFor     = time.Second
+	changeUsual   = 1500 * time.Millisecond // how long a change takes, until some were seen
+	smooth        = 0.2
+	markSmooth    = 0.1
+	againLeast    = 50 * time.Millisecond
+	evidenceKept  = 16 // lines of each bank's history
+)
+
+// Model is the state of all banks. Only one goroutine may use it.
+type Model struct {
+	cfg     Config
+	rng     *rand.Rand
+	banks   map[int64]*bank
+	order   []*bank
+	nodes   map[string]*member
+	held    map[string]*hold
+	clients clients
+	byName  map[string]*client
+	bytes   int
+	acts    []Action
+	work    map[string]time.Duration // what a served request of a class takes
+	usual   time.Duration            // how long a change takes
+}
+
+// bank is one group.
+type bank struct {
+	id       int64
+	phase    Phase
+	term     uint64
+	primary  *member // believed, or doubted
+	members  []*member
+	since    time.Duration // of the phase
+	changed  time.Duration // when the change began
+	limit    time.Duration // of an announced change, 0 = none
+	settleAt time.Duration
+
+	doubted  bool // by the module, which says when it believes again
+	queue    queue
+	oldest   time.Duration // none that is held came before
+	window   float64
+	out      map[string]bool // released and not answered
+	nextAsk  time.Duration
+	gap      time.Duration
+	asked    int
+	history  []Line
+	released uint64
+	givenUp  [reasons]uint64
+}
+
+// Line is a step in a bank's history.
+type Line struct {
+	At       time.Duration
+	From, To Phase
+	Evidence Evidence
+	Node     string
+	Term     uint64
+}
+
+// member is one db machine.
+type member struct {
+	id       string
+	bank     *bank
+	pos      time.Duration // the newest position that it told
+	posAt    time.Duration
+	out      bool // drains, is gone, or operators have taken it out
+	barred   bool
+	mean     float64 // of the time that an answer takes, seconds
+	dev      float64
+	seen     int
+	heard    time.Duration // its last answer
+	waiting  []attempt     // those that are out, oldest first
+	asking   bool          // a probe is out
+	askedAt  time.Duration //
+	failures int           // connections refused or broken in a row
+	lenient  float64       // patience after suspicions that were wrong
+	_        [0]func()     // not comparable
+}
+
+type attempt struct {
+	id string
+	at time.Duration
+}
+
+// New returns a Model that knows no bank.
+func New(cfg Config, seed uint64) *Model {
+	return &Model{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0xc4a)), banks: map[int64]*bank{}, nodes: map[string]*member{}, held: map[string]*hold{},
+		byName: map[string]*client{}, work: map[string]time.Duration{}, usual: changeUsual}
+}
+
+// Actions returns what is to be done since the last call.
+func (m *Model) Actions() []Action {
+	acts := m.acts
+	m.acts = nil
+	return acts
+}
+
+// Pending says whether there is anything to do.
+func (m *Model) Pending() bool { return len(m.acts) > 0 }
+
+func (m *Model) do(a Action) { m.acts = append(m.acts, a) }
+
+func (m *Model) bank(id int64) *bank {
+	b := m.banks[id]
+	if b == nil {
+		b = &bank{id: id, out: map[string]bool{}}
+		m.banks[id] = b
+		m.order = append(m.order, b)
+		slices.SortFunc(m.order, func(a, b *bank) int { return cmp.Compare(a.id, b.id) })
+	}
+	return b
+}
+
+// in says whether writes of the bank are held.
+func (b *bank) in() bool { return b.phase == Suspected || b.phase == Lost || b.phase == HandingOver }
+
+// move takes a bank to another phase.
+func (m *Model) move(b *bank, to Phase, why Evidence, node string, now time.Duration) {
+	if b.phase == to {
+		return
+	}
+	from := b.phase
+	if !b.in() && (to == Suspected || to == Lost || to == HandingOver) {
+		if from == Steady || from == Settled {
+			b.changed = now
+		}
+		b.gap, b.nextAsk, b.asked = probeFirst, now, 0
+		m.do(Action{Kind: Withdraw, Bank: b.id})
+	}
+	b.phase, b.since = to, now
+	if len(b.history) == evidenceKept {
+		b.history = append(b.history[:0], b.history[1:]...)
+	}
+	b.history = append(b.history, Line{At: now, From: from, To: to, Evidence: why, Node: node, Term: b.term})
+	m.do(Action{Kind: Changed, Bank: b.id})
+}
+
+// ---- What is told
+
+// Member is one entry of a list.
+type Member struct {
+	Node string
+	Bank int64
+	Out  bool // it drains or is gone
+}
+
+// Listed notes members of banks. What it does not name stays as it was.
+func (m *Model) Listed(now time.Duration, members []Member) {
+	for _, e := range members {
+		n := m.nodes[e.Node]
+		if n != nil && n.bank.id != e.Bank {
+			m.forget(n)
+			n = nil
+		}
+		b := m.bank(e.Bank)
+		if n == nil {
+			n = &member{id: e.Node, bank: b, lenient: 1}
+			m.nodes[e.Node] = n
+			b.members = append(b.members, n)
+			slices.SortFunc(b.members, func(a, b *member) int { return cmp.Compare(a.id, b.id) })
+		}
+		if n.out = e.Out; n.out && b.primary == n && !b.in() {
+			m.move(b, HandingOver, Draining, n.id, now)
+		}
+	}
+}
+
+// Gone forgets members that are not listed any more.
+func (m *Model) Gone(now time.Duration, nodes []string) {
+	for _, id := range nodes {
+		n := m.nodes[id]
+		if n == nil {
+			continue
+		}
+		if n.out = true; n.bank.primary == n && !n.bank.in() {
+			m.move(n.bank, HandingOver, Draining, n.id, now)
+		}
+		if n.bank.primary != n {
+			m.forget(n)
+		}
+	}
+}
+
+func (m *Model) forget(n *member) {
+	delete(m.nodes, n.id)
+	n.bank.members = slices.DeleteFunc(n.bank.members, func(o *member) bool { return o == n })
+	if n.bank.primary == n {
+		n.bank.primary = nil
+	}
+}
+
+// Suspend notes that operators have taken a member out, or let it back in.
+func (m *Model) Suspend(now time.Duration, node string, out bool) {
+	n := m.nodes[node]
+	if n == nil {
+		return
+	}
+	if n.barred = out; out && n.bank.primary == n && !n.bank.in() {
+		m.move(n.bank, HandingOver, Barred, n.id, now)
+	}
+}
+
+// Announce says that operators are about to change a bank's primary: its writes are held from now on, until another one is
+// believed or the time has passed. It says whether the bank is known.
+func (m *Model) Announce(now time.Duration, id int64, within time.Duration) bool {
+	b := m.banks[id]
+	if b == nil {
+		return false
+	}
+	b.limit = now + within
+	if b.phase != HandingOver {
+		m.move(b, HandingOver, Announced, name(b.primary), now)
+	}
+	return true
+}
+
+func name(n *member) string {
+	if n == nil {
+		return ""
+	}
+	return n.id
+}
+
+// Believe notes whom the module takes for a bank's primary.
+func (m *Model) Believe(now time.Duration, id int64, node string) {
+	b, n := m.bank(id), m.nodes[node]
+	if n == nil {
+		n = &member{id: node, bank: b, lenient: 1}
+		m.nodes[node] = n
+		b.members = append(b.members, n)
+		slices.SortFunc(b.members, func(a, b *member) int { return cmp.Compare(a.id, b.id) })
+	}
+	first := b.primary == nil && b.phase == Steady
+	fresh := b.primary != n
+	if fresh {
+		b.term++
+	}
+	b.doubted = false
+	if b.primary = n; first || b.phase == Steady && !fresh {
+		return
+	}
+	if b.phase == HandingOver && !fresh && b.limit > now {
+		return // an announced change: the old one leads until another does
+	}
+	n.failures, n.heard = 0, now
+	m.seen(b, Believed, now)
+}
+
+// seen lets the bank's writes out.
+func (m *Model) seen(b *bank, why Evidence, now time.Duration) {
+	if b.in() && why == Believed {
+		m.usual += time.Duration(smooth * float64(now-b.changed-m.usual))
+	}
+	b.limit = 0
+	b.window = max(1, windowFirst/float64(max(1, m.cfg.Instances)))
+	m.move(b, SuccessorSeen, why, name(b.primary), now)
+	b.since, b.settleAt = now, now+settleFor
+	m.let(b, now)
+}
+
+// Doubt notes that the module has come to doubt a bank's primary.
+func (m *Model) Doubt(now time.Duration, id int64, node string) {
+	b := m.bank(id)
+	if b.primary != nil && b.primary.id != node {
+		return
+	}
+	if b.doubted = true; b.phase != HandingOver {
+		m.move(b, Lost, Doubted, node, now)
+	}
+}
+
+// Hint is what an earlier start knew: the term goes on from there, and the primary is asked first.
+func (m *Model) Hint(id int64, term uint64, node string) {
+	b := m.bank(id)
+	b.term = max(b.term, term)
+	if n := m.nodes[node]; n != nil && n.bank == b && b.primary == nil {
+		n.posAt = 1 // checked before it is believed: it only goes first
+	}
+}
+
+// ---- Attempts and probes
+
+// Sent notes an attempt at a member.
+func (m *Model) Sent(now time.Duration, node, id string) {
+	if n := m.nodes[node]; n != nil && n.bank.primary == n {
+		n.waiting = append(n.waiting, attempt{id, now})
+	}
+}
+
+// How an attempt or a probe ended, as far as a change of primary is concerned.
+type End uint8
+
+// The ends.
+const (
+	Fine      End = iota // it answered
+	Replica              // it answered that it takes no writes
+	Unreached            // refused, or broke: nothing is known of what stands behind it
+	Nothing              // taken back, or its time ended: says nothing by itself
+	Full                 // turned away
+)
+
+// Ended notes the end of an attempt. pos is the position that it told, 0 = none; class and took are those of a request that was served.
+func (m *Model) Ended(now time.Duration, node, id string, end End, role Role, pos time.Duration, class string, took time.Duration) {
+	n := m.nodes[node]
+	if n == nil {
+		return
+	}
+	n.waiting = slices.DeleteFunc(n.waiting, func(a attempt) bool { return a.id == id })
+	b := n.bank
+	m.place(n, pos, now)
+	if b.out[id] {
+		delete(b.out, id)
+		switch end {
+		case Fine:
+			b.window = min(windowMost, b.window+1)
+		case Full:
+			b.window = max(1, b.window/2)
+		}
+	}
+	switch end {
+	case Fine:
+		if took > 0 && class != "" {
+			m.learn(n, took)
+			m.work[class] = m.expect(class) + time.Duration(markSmooth*float64(took-m.expect(class)))
+		}
+		m.answered(n, now)
+		if role == RolePrimary && b.in() && n != b.primary {
+			m.ask(n, now) // the module believes a report sooner than an answer
+		}
+	case Full:
+		m.answered(n, now)
+	case Replica:
+		n.heard = now
+		if n == b.primary && !b.in() {
+			m.move(b, HandingOver, NoPrimary, n.id, now)
+		}
+	case Unreached:
+		m.unreached(n, now)
+	}
+	m.let(b, now)
+}
+
+// Reported notes the end of a probe.
+func (m *Model) Reported(now time.Duration, node string, answered bool, role Role, pos time.Duration) {
+	n := m.nodes[node]
+	if n == nil {
+		return
+	}
+	n.asking = false
+	if !answered {
+		if n == n.bank.primary {
+			n.failures++
+			if n.bank.phase == Suspected {
+				m.move(n.bank, Lost, ProbeFailed, n.id, now)
+			}
+		}
+		return
+	}
+	m.place(n, pos, now)
+	if n == n.bank.primary && role == RoleReplica {
+		if n.heard = now; !n.bank.in() || n.bank.phase == Suspected {
+			m.move(n.bank, HandingOver, NoPrimary, n.id, now)
+		}
+		return
+	}
+	m.answered(n, now)
+}
+
+// Role is what an answer or a report says of its sender.
+type Role uint8
+
+// The roles.
+const (
+	RoleUnknown Role = iota
+	RolePrimary
+	RoleReplica
+)
+
+func (m *Model) place(n *member, pos, now time.Duration) {
+	if pos > n.pos {
+		n.pos, n.posAt = pos, now
+	}
+}
+
+// learn keeps a member's own pattern.
+func (m *Model) learn(n *member, took time.Duration) {
+	s := took.Seconds()
+	if n.seen++; n.seen == 1 {
+		n.mean, n.dev = s, s/2
+		return
+	}
+	d := s - n.mean
+	n.mean += markSmooth * d
+	n.dev += markSmooth * (max(d, -d) - n.dev)
+}
+
+// patience is how long a member with attempts out may say nothing.
+func (n *member) patience() time.Duration {
+	s := patienceSlack * n.lenient * (n.mean + patienceDevs*n.dev)
+	return max(patienceLeast, time.Duration(s*float64(time.Second)))
+}
+
+// answered lifts a suspicion of a primary that answers.
+func (m *Model) answered(n *member, now time.Duration) {
+	n.heard, n.failures = now, 0
+	b := n.bank
+	if n != b.primary || b.phase != Suspected && (b.phase != Lost || b.doubted || n.out || n.barred) {
+		return
+	}
+	n.lenient = min(8, n.lenient*1.5) // the pattern was too tight
+	m.seen(b, Answered, now)
+}
+
+func (m *Model) unreached(n *member, now time.Duration) {
+	n.failures++
+	b := n.bank
+	if n != b.primary {
+		return
+	}
+	switch {
+	case !b.in():
+		m.move(b, Suspected, Refused, n.id, now)
+		m.ask(n, now)
+	case b.phase == Suspected && n.failures > 1:
+		m.move(b, Lost, Refused, n.id, now)
+	}
+}
+
+// ---- Time
+
+// Tick looks at silence, deadlines and probes, and returns when it wants to be called next, 0 = when something happens.
+func (m *Model) Tick(now time.Duration) (next time.Duration) {
+	due := func(at time.Duration) {
+		if next == 0 || at < next {
+			next = max(at, now+time.Millisecond)
+		}
+	}
+	for _, b := range m.order {
+		n := b.primary
+		if n != nil && !b.in() && len(n.waiting) > 0 {
+			if at := max(n.heard, n.waiting[0].at) + n.patience(); now >= at {
+				m.move(b, Suspected, Silence, n.id, now)
+				m.ask(n, now)
+			} else {
+				due(at)
+			}
+		}
+		switch {
+		case b.phase == Suspected && now-b.since >= suspectFor:
+			m.move(b, Lost, Silence, name(n), now)
+		case b.phase == Suspected:
+			due(b.since + suspectFor)
+		case b.phase == HandingOver && b.limit > 0 && now >= b.limit:
+			if b.limit = 0; n != nil && !n.out && !n.barred && n.failures == 0 {
+				m.seen(b, LimitReached, now) // nothing came of it
+			} else {
+				m.move(b, Lost, LimitReached, name(n), now)
+			}
+		case b.phase == HandingOver && b.limit > 0:
+			due(b.limit)
+		case b.phase == SuccessorSeen:
+			if len(b.queue) == 0 && len(b.out) == 0 || now >= b.settleAt && len(b.queue) == 0 {
+				m.move(b, Settled, ReleasedAll, name(n), now)
+				due(now + settleFor)
+			} else {
+				due(min(b.settleAt, now+settleFor/4))
+			}
+			if now >= b.settleAt {
+				clear(b.out) // lost count of some: they must not stop the rest
+				b.settleAt = now + settleFor
+				m.let(b, now)
+			}
+		case b.phase == Settled && now-b.since >= settleFor:
+			m.move(b, Steady, Quiet, name(n), now)
+		case b.phase == Settled:
+			due(b.since + settleFor)
+		}
+		if b.in() {
+			m.look(b, now)
+			due(b.nextAsk)
+		}
+		if m.expire(b, now); len(b.queue) > 0 {
+			due(b.queue[0].latest)
+			if m.cfg.Time > 0 {
+				due(b.oldest + m.cfg.Time)
+			}
+		}
+	}
+	return next
+}
+
+// look asks members who might be the successor: those with the most log first, densely while something is held, and within
+// the budget. Each router draws its own moments.
+func (m *Model) look(b *bank, now time.Duration) {
+	if now < b.nextAsk {
+		return
+	}
+	gap := b.gap
+	if len(b.queue) == 0 || b.asked > probeBudget*max(1, len(b.members)) {
+		gap = probeSlow
+	}
+	b.gap = min(probeMost, time.Duration(probeGrow*float64(b.gap)))
+	b.nextAsk = now + gap*3/4 + time.Duration(m.rng.Int64N(int64(gap/2)))
+	for _, n := range m.likely(b) {
+		m.ask(n, now)
+	}
+}
+
+// likely are the members that may be asked, the likeliest successor first.
+func (m *Model) likely(b *bank) []*member {
+	var out []*member
+	for _, n := range b.members {
+		if !n.out && !n.barred {
+			out = append(out, n)
+		}
+	}
+	slices.SortStableFunc(out, func(x, y *member) int {
+		// An old primary that is lost comes last, whatever its log.
+		if old := b.phase != Suspected; (x == b.primary) != (y == b.primary) {
+			if (x == b.primary) == old {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(y.pos, x.pos), cmp.Compare(y.posAt, x.posAt))
+	})
+	return out
+}
+
+func (m *Model) ask(n *member, now time.Duration) {
+	if n.out || n.barred || n.asking && now-n.askedAt < probeWait {
+		return
+	}
+	n.asking, n.askedAt = true, now
+	n.bank.asked++
+	m.do(Action{Kind: Probe, Node: n.id})
+}
--- a/internal/clients/job.go
+++ b/internal/clients/job.go
@@ -31,6 +31,9 @@
 	return pgwire.AppendQuery(nil, q.head.WithDeadline(q.sql, left))
 }
 
+// Size is what it keeps, in bytes.
+func (q *Query) Size() int { return len(q.sql) }
+
 // Whole implements servers.Job: one row of one column, from a command such as the statement's.
 func (q *Query) Whole(a *servers.Answer) bool {
 	return string(a.Types) == "TDC" && a.Shape.Columns == 1 && q.Fits(a.Shape.Tag)
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"time"
 
 	"github.com/BurntSushi/toml"
 )
@@ -14,6 +15,12 @@
 	Extended struct {
 		Listen string `toml:"listen"` // where the second front listens
 	} `toml:"extended"`
+	Changeover struct {
+		Classes []string      `toml:"classes"` // whose requests are held; empty = off
+		Count   int           `toml:"count"`   // that are held, 0 = by memory
+		Bytes   int           `toml:"bytes"`   // of their statements, 0 = by memory
+		Time    time.Duration `toml:"time"`    // the longest that one is held, 0 = until its own deadline
+	} `toml:"changeover"`
 	Syslog Syslog `toml:"syslog"`
 	Audit  Audit  `toml:"audit"`
 	Store  struct {
@@ -45,6 +52,14 @@
 			return d, fmt.Errorf("%s: extended.listen: %w", path, err)
 		}
 	}
+	switch c := d.Changeover; {
+	case c.Count < 0 || c.Count > 1<<20:
+		return d, fmt.Errorf("%s: changeover.count: %d does not lie between 0 and %d", path, c.Count, 1<<20)
+	case c.Bytes < 0 || c.Bytes > 1<<30:
+		return d, fmt.Errorf("%s: changeover.bytes: %d does not lie between 0 and %d", path, c.Bytes, 1<<30)
+	case c.Time < 0 || c.Time > time.Hour:
+		return d, fmt.Errorf("%s: changeover.time: %v does not lie between 0s and 1h", path, c.Time)
+	}
 	if err := d.Syslog.check(); err != nil {
 		return d, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/extended/job.go
+++ b/internal/extended/job.go
@@ -29,6 +29,15 @@
 	return pgwire.Append(out, 'S')
 }
 
+// Size is what it keeps, in bytes.
+func (w *work) Size() int {
+	n := len(w.stmt.Query)
+	if w.portal != nil {
+		n += len(w.portal.rest)
+	}
+	return n
+}
+
 // Whole implements servers.Job.
 func (w *work) Whole(a *servers.Answer) bool {
 	rest, ok := strings.CutPrefix(string(a.Types), "1")
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -39,6 +39,8 @@
 	ListBytes    int // bytes of an answer of discovery
 	ListHeader   int // bytes of its header
 	LogText      int // bytes of a log line of the decision module
+	Held         int // requests that wait for a primary
+	HeldBytes    int // bytes of their statements
 	AuditRecords int // records that wait to become messages
 	AuditBytes   int // bytes of them
 	AuditHeads   int // messages from one head of the chain to the next
@@ -104,6 +106,7 @@
 // than a half.
 func (l Limits) Lean() Limits {
 	l.Memory, l.Garbage, l.Buffered = l.Memory/2, 100, l.Buffered/2
+	l.HeldBytes /= 2
 	l.AuditRecords, l.AuditBytes, l.SyslogWindow = l.AuditRecords/2, l.AuditBytes/2, l.SyslogWindow/2
 	l.Clients, l.Connections, l.IdleMachine = l.Clients*2/3, l.Connections/2, max(2, l.IdleMachine/2)
 	return l
@@ -130,6 +133,7 @@
 		Operators: operators, CallBytes: 16 << 10,
 		Clients: free * 7 / 10, ClientsEasy: sockets / 8, ClientsTight: sockets / 5, Unread: most + 256<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
 		Requests: 4 * free, Listed: 10_000, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
+		Held: 4 * free, HeldBytes: memoryMB << 20 / 16,
 		AuditRecords: memoryMB << 20 / 32 / 512, AuditBytes: memoryMB << 20 / 32, AuditHeads: 256, SyslogWindow: memoryMB << 20 / 64,
 		SpoolSegment: 256 << 10, SpoolBytes: 64 << 20, StoreQueue: 64, StoreEntries: 1024,
 
--- a/internal/operator/call.go
+++ b/internal/operator/call.go
@@ -12,6 +12,7 @@
 type call struct {
 	method string
 	path   []string // its parts, decoded
+	query  url.Values
 }
 
 // What is wrong with a call that cannot be read.
@@ -77,7 +78,10 @@
 	default:
 		return c, errForm
 	}
-	target, _, _ := strings.Cut(f[1], "?")
+	target, query, _ := strings.Cut(f[1], "?")
+	if c.query, err = url.ParseQuery(query); err != nil {
+		return c, errForm
+	}
 	if rest, ok := strings.CutPrefix(target, "http://"); ok { // the absolute form
 		_, path, _ := strings.Cut(rest, "/")
 		target = "/" + path
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"limeladder/internal/limits"
@@ -21,8 +23,18 @@
 	Suspend(id string, out bool, done func(known bool))
 	// Drain empties the router, or ends that.
 	Drain(on bool, done func())
+	// Cells is the state of all banks as JSON; off says that nothing is held here.
+	Cells() (p []byte, off bool)
+	// Changeover says that a bank's primary is about to change: its writes are held until then, for so long at most.
+	Changeover(cell int64, limit time.Duration) (known, off bool)
 }
 
+// The time limit of an announced change of primary, where the call names none, and the longest.
+const (
+	changeoverUsual = 5 * time.Second
+	changeoverMost  = time.Minute
+)
+
 // Server answers operators' calls. All of it runs in the loop's goroutine.
 type Server struct {
 	loop   *loop.Loop
@@ -124,6 +136,17 @@
 				k.answer(http.StatusOK, p[2]+" begun")
 			})
 		}
+	case len(p) == 2 && p[0] == "v1" && p[1] == "cells":
+		method = http.MethodGet
+		act = func() {
+			if text, off := r.Cells(); off {
+				k.answer(http.StatusNotFound, "nothing is held through a change of primary here: [changeover] is off")
+			} else {
+				k.answer(http.StatusOK, string(text), "Content-Type: application/json")
+			}
+		}
+	case len(p) == 4 && p[0] == "v1" && p[1] == "cells" && p[3] == "changeover":
+		act = func() { k.changeover(p[2], c.query.Get("limit")) }
 	default:
 		k.answer(http.StatusNotFound, "no such path")
 		return
@@ -135,12 +158,41 @@
 	act()
 }
 
+// changeover carries out the announcement of a change of primary.
+func (k *conn) changeover(cell, limit string) {
+	id, err := strconv.ParseInt(cell, 10, 64)
+	if err != nil {
+		k.answer(http.StatusNotFound, "no cell of that number")
+		return
+	}
+	within := changeoverUsual
+	if limit != "" {
+		if within, err = time.ParseDuration(limit); err != nil || within <= 0 || within > changeoverMost {
+			k.answer(http.StatusBadRequest, "limit: a time such as 5s, one minute at most")
+			return
+		}
+	}
+	known, off := k.server.router.Changeover(id, within)
+	k.server.log.Info("operator", "call", "changeover", "cell", id, "limit", within, "known", known)
+	switch {
+	case off:
+		k.answer(http.StatusNotFound, "nothing is held through a change of primary here: [changeover] is off")
+	case !known:
+		k.answer(http.StatusNotFound, "no cell of that number is known")
+	default:
+		k.answer(http.StatusOK, "writes are held")
+	}
+}
+
 // answer ends the call and the connection.
 func (k *conn) answer(status int, text string, header ...string) {
 	if k.over {
 		return
 	}
-	p := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nDate: %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n",
+	if len(header) == 0 || !strings.HasPrefix(header[0], "Content-Type:") {
+		header = append(header, "Content-Type: text/plain; charset=utf-8")
+	}
+	p := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nDate: %s\r\nContent-Length: %d\r\nConnection: close\r\n",
 		status, http.StatusText(status), time.Now().UTC().Format(http.TimeFormat), len(text)+1)
 	for _, h := range header {
 		p = append(append(p, h...), "\r\n"...)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -65,13 +65,17 @@
 	})
 }
 
-type router struct{ drained bool }
+type router struct{ drained, off bool }
 
 func (r *router) Takes() bool { return !r.drained }
 func (r *router) Suspend(id string, out bool, done func(bool)) {
 	done(id == "s-1")
 }
 func (r *router) Drain(on bool, done func()) { r.drained = on; done() }
+func (r *router) Cells() ([]byte, bool)      { return []byte("[]"), r.off }
+func (r *router) Changeover(cell int64, limit time.Duration) (known, off bool) {
+	return cell == 7 && limit > 0, r.off
+}
 
 func serve(t *testing.T) (l *loop.Loop, addr string) {
 	l = loop.New()
@@ -115,6 +119,9 @@
 		want int
 	}{
 		{"GET /v1/readyz", 200}, {"POST /v1/readyz", 405}, {"GET /v1/nothing", 404}, {"GET /", 404},
+		{"GET /v1/cells", 200}, {"POST /v1/cells", 405}, {"POST /v1/cells/7/changeover", 200}, {"POST /v1/cells/7/changeover?limit=2s", 200},
+		{"POST /v1/cells/7/changeover?limit=2", 400}, {"POST /v1/cells/7/changeover?limit=2h", 400}, {"POST /v1/cells/8/changeover", 404},
+		{"POST /v1/cells/x/changeover", 404}, {"GET /v1/cells/7/changeover", 405}, {"POST /v1/cells/7/changeover?%zz", 400},
 		{"POST /v1/db-machines/s-1/suspend", 200}, {"POST /v1/db-machines/s-1/resume", 200}, {"POST /v1/db-machines/s-1/stop", 404},
 		{"POST /v1/db-machines/s-2/suspend", 404}, {"POST /v1/db-machines//suspend", 404}, {"GET /v1/db-machines/s-1/suspend", 405},
 		{"POST /v1/router/drain", 200}, {"GET /v1/readyz", 503}, {"POST /v1/router/activate", 200}, {"GET /v1/readyz", 200},
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -8,18 +8,24 @@
 
 // admit turns away what is too much and hands the rest to the decision module.
 func (r *Router) admit(q *request) {
-	c := r.classes[q.Class]
 	if len(r.inHand) >= r.lim.Requests {
 		// Guards memory: what is beyond the limit is turned away before anything is kept of it.
 		r.loop.Post(func() { r.refuse(q, 0) })
 		return
 	}
 	r.inHand[q.id] = q
-	now := r.loop.Now()
 	// The module ends what it holds in time; the timer is for attempts that are out, and guards against a
 	// request that would stay without any answer.
-	q.timer = r.loop.After(q.dieAt-now, func() { r.expire(q) })
-	e := balance.Request{ID: q.id, Class: q.Class, Group: q.Group, Expires: max(0, q.dieAt-now), Retry: q.Retry}
+	q.timer = r.loop.After(q.dieAt-r.loop.Now(), func() { r.expire(q) })
+	if !r.holds(q) {
+		r.enter(q)
+	}
+}
+
+// enter hands a request to the module.
+func (r *Router) enter(q *request) {
+	c, now := r.classes[q.Class], r.loop.Now()
+	e := balance.Request{ID: q.id, Class: q.Class, Group: q.Group, Expires: max(0, q.dieAt-now), Retry: q.Retry, Tried: q.before}
 	if q.Session != "" && (c.Need == balance.NeedSession || c.Need == balance.NeedUpdate) {
 		h := fnv.New64a()
 		h.Write([]byte(q.Session))
--- a/internal/router/book.go
+++ b/internal/router/book.go
@@ -35,6 +35,7 @@
 		took = res.At - q.sentAt
 	}
 	r.outcome(q, leg, q.node, res, took)
+	r.heard(q, res, took)
 	r.forget(q)
 }
 
@@ -54,5 +55,6 @@
 		q.timer.Stop()
 		q.timer = nil
 		delete(r.inHand, q.id)
+		r.released(q)
 	}
 }
--- /dev/null
+++ b/internal/router/hold.go
@@ -0,0 +1,274 @@
+package router
+
+import (
+	"strconv"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/audit"
+	"limeladder/internal/changeover"
+	"limeladder/internal/loop"
+)
+
+// The stage between admit and route: what asks for a primary is held while its bank changes its own. changeover.Model
+// decides; here it is told what happens, and what it asks is carried out. Without it none of this costs anything.
+
+// holder is the model and the timer that wakes it.
+type holder struct {
+	model   *changeover.Model
+	classes map[string]changeover.Class
+	timer   *loop.Timer
+	at      time.Duration // when the timer is due
+	nodes   map[string]int64
+	change  func(bank int64, term uint64, primary string) // told of each successor, nil = nobody is
+}
+
+// HoldThrough turns holding on. It is called before the first list.
+func (r *Router) HoldThrough(cfg changeover.Config, seed uint64, change func(bank int64, term uint64, primary string)) {
+	r.holder = &holder{model: changeover.New(cfg, seed), classes: cfg.Classes, nodes: map[string]int64{}, change: change}
+}
+
+// Banks is what those on call see of the changes; nil where nothing is held.
+func (r *Router) Banks() []changeover.View {
+	if r.holder == nil {
+		return nil
+	}
+	return r.holder.model.Views(r.loop.Now())
+}
+
+// Announce says that operators are about to change a bank's primary, and whether the bank is known.
+func (r *Router) Announce(bank int64, within time.Duration) bool {
+	if r.holder == nil {
+		return false
+	}
+	known := r.holder.model.Announce(r.loop.Now(), bank, within)
+	r.Step()
+	return known
+}
+
+// Hint is what an earlier start knew of a bank.
+func (r *Router) Hint(bank int64, term uint64, primary string) {
+	if r.holder != nil {
+		r.holder.model.Hint(bank, term, primary)
+	}
+}
+
+// holds takes a request into the model's queue, if its bank is in change.
+func (r *Router) holds(q *request) bool {
+	h := r.holder
+	if h == nil || !h.model.Holds(q.Group, q.Class) {
+		return false
+	}
+	q.parked = true
+	size := 0
+	if s, ok := q.Job.(interface{ Size() int }); ok {
+		size = s.Size()
+	}
+	h.model.Hold(r.loop.Now(), changeover.Request{ID: q.id, Bank: q.Group, Class: q.Class, Client: r.whose(q), Deadline: q.At + q.Deadline, Size: size})
+	return true
+}
+
+func (r *Router) whose(q *request) string {
+	if q.Client != "" {
+		return q.Client
+	}
+	return q.Session
+}
+
+// withdraw takes a request back from the module, as if its client had gone, and holds it. Nothing of it may have run.
+func (r *Router) withdraw(q *request) {
+	if q.over || q.parked || q.call != nil || q.mayRun || q.began {
+		return
+	}
+	if !r.holder.model.Holds(q.Group, q.Class) {
+		return
+	}
+	if r.module.MostTries() > 0 && q.before+q.tries >= r.module.MostTries() {
+		return // the module ends it
+	}
+	r.leave(q)
+	q.before += q.tries
+	q.tries = 0
+	r.holds(q)
+}
+
+// sent tells of an attempt.
+func (r *Router) sent(q *request) {
+	if h := r.holder; h != nil {
+		if _, ok := h.classes[q.Class]; ok {
+			now := r.loop.Now()
+			h.model.Sent(now, q.node, q.id)
+			r.wakeHolder(now + 50*time.Millisecond)
+		}
+	}
+}
+
+// heard tells of an attempt's end, and holds again what has proved not to have run.
+func (r *Router) heard(q *request, res Result, took time.Duration) {
+	h := r.holder
+	if h == nil {
+		return
+	}
+	end := changeover.Nothing
+	switch res.Status {
+	case balance.Done:
+		end = changeover.Fine
+	case balance.Miss:
+		if end = changeover.Fine; res.Role == balance.RoleReplica && r.Writes(q.Class) {
+			end = changeover.Replica
+		}
+	case balance.Busy:
+		end = changeover.Full
+	case balance.ConnectFailed, balance.Reset:
+		end = changeover.Unreached
+	}
+	class := ""
+	if _, ok := h.classes[q.Class]; ok && res.Status == balance.Done {
+		class = q.Class
+	}
+	h.model.Ended(r.loop.Now(), q.node, q.id, end, role(res.Role), res.Position, class, took)
+	if _, ok := h.classes[q.Class]; ok {
+		r.withdraw(q)
+	}
+}
+
+func role(r balance.Role) changeover.Role {
+	switch r {
+	case balance.RolePrimary:
+		return changeover.RolePrimary
+	case balance.RoleReplica:
+		return changeover.RoleReplica
+	}
+	return changeover.RoleUnknown
+}
+
+func (r *Router) reported(node string, res Result) {
+	if h := r.holder; h != nil {
+		h.model.Reported(r.loop.Now(), node, res.Status == balance.Done, role(res.Role), res.Position)
+	}
+}
+
+func (r *Router) believe(a balance.Lead) {
+	h := r.holder
+	if h == nil {
+		return
+	}
+	if !a.Believed {
+		h.model.Doubt(r.loop.Now(), a.Group, a.Node)
+		return
+	}
+	_, before, _, _ := h.model.Bank(a.Group)
+	h.model.Believe(r.loop.Now(), a.Group, a.Node)
+	if _, term, primary, _ := h.model.Bank(a.Group); term != before && h.change != nil {
+		h.change(a.Group, term, primary)
+	}
+}
+
+func (r *Router) barred(node string, out bool) {
+	if h := r.holder; h != nil {
+		h.model.Suspend(r.loop.Now(), node, out)
+	}
+}
+
+func (r *Router) listed(l balance.List) {
+	h := r.holder
+	if h == nil || l.Kind == balance.ListFailed {
+		return
+	}
+	named := map[string]bool{}
+	var in []changeover.Member
+	var gone []string
+	for _, e := range l.Entries {
+		named[e.Node] = true
+		if e.State == balance.Gone {
+			gone = append(gone, e.Node)
+			delete(h.nodes, e.Node)
+			continue
+		}
+		h.nodes[e.Node] = e.Group
+		in = append(in, changeover.Member{Node: e.Node, Bank: e.Group, Out: e.State == balance.Draining})
+	}
+	if l.Kind != balance.ListDelta {
+		for node := range h.nodes {
+			if !named[node] {
+				gone = append(gone, node)
+				delete(h.nodes, node)
+			}
+		}
+	}
+	h.model.Listed(r.loop.Now(), in)
+	h.model.Gone(r.loop.Now(), gone)
+}
+
+// released tells that a request is answered.
+func (r *Router) released(q *request) {
+	if h := r.holder; h != nil {
+		if _, ok := h.classes[q.Class]; ok {
+			h.model.Done(r.loop.Now(), q.Group, q.id)
+		}
+	}
+}
+
+// wakeHolder sees to it that the model is looked at by then.
+func (r *Router) wakeHolder(at time.Duration) {
+	h := r.holder
+	if h.timer != nil && h.at <= at {
+		return
+	}
+	h.timer.Stop()
+	h.at = at
+	h.timer = r.loop.After(at-r.loop.Now(), func() {
+		h.timer = nil
+		r.tickHolder()
+	})
+}
+
+func (r *Router) tickHolder() {
+	if next := r.holder.model.Tick(r.loop.Now()); next > 0 {
+		r.wakeHolder(next)
+	}
+}
+
+// changes carries out what the model asks.
+func (r *Router) changes() {
+	h := r.holder
+	if h == nil || !h.model.Pending() {
+		return
+	}
+	for h.model.Pending() {
+		for _, a := range h.model.Actions() {
+			r.change(a)
+		}
+		r.tickHolder()
+	}
+}
+
+func (r *Router) change(a changeover.Action) {
+	h := r.holder
+	switch a.Kind {
+	case changeover.Release:
+		if q := r.inHand[a.ID]; q != nil && q.parked && !q.over {
+			q.parked = false
+			r.enter(q)
+		}
+	case changeover.GiveUp:
+		if q := r.inHand[a.ID]; q != nil && q.parked {
+			q.parked = false
+			r.log.Debug("held in vain", "request", q.Label, "class", q.Class, "why", a.Why.String())
+			r.refuse(q, a.After)
+		}
+	case changeover.Probe:
+		r.probe(a.Node, false)
+	case changeover.Withdraw:
+		for _, q := range r.inHand {
+			if _, ok := h.classes[q.Class]; ok && q.Group == a.Bank {
+				r.withdraw(q)
+			}
+		}
+	case changeover.Changed:
+		phase, term, primary, last := h.model.Bank(a.Bank)
+		text := "bank " + strconv.FormatInt(a.Bank, 10) + ": " + phase.String() + ", term " + strconv.FormatUint(term, 10) + ", " + last.Evidence.String()
+		r.log.Info("changeover", "bank", a.Bank, "phase", phase.String(), "term", term, "primary", primary, "evidence", last.Evidence.String(), "node", last.Node)
+		r.record(audit.Note{Topic: "changeover", Text: text})
+	}
+}
--- a/internal/router/route.go
+++ b/internal/router/route.go
@@ -6,19 +6,23 @@
 )
 
 // List passes on what discovery has told.
-func (r *Router) List(l balance.List) { r.pending = append(r.pending, l) }
+func (r *Router) List(l balance.List) {
+	r.pending = append(r.pending, l)
+	r.listed(l)
+}
 
 // Suspend takes a db machine out for operators, or lets it back in. It binds when it returns.
 func (r *Router) Suspend(node string, out bool) {
 	r.servers.Suspend(node, out) // first: what came before in the same step may still ask for a probe
 	r.pending = append(r.pending, balance.Suspend{Node: node, Out: out})
+	r.barred(node, out)
 	r.Step()
 }
 
 // Step lets the decision module look at what has come and carries out what it decides. The loop calls it each
 // time all that had come is handed over.
 func (r *Router) Step() {
-	for len(r.pending) > 0 {
+	for r.changes(); len(r.pending) > 0; r.changes() {
 		events := r.pending
 		r.pending = nil
 		for _, a := range r.module.Step(r.loop.Now(), events) {
@@ -46,13 +50,14 @@
 			r.cancel(q, balance.Cancelled)
 		}
 	case balance.Probe:
-		r.probe(a.Node)
+		r.probe(a.Node, true)
 	case balance.Timer:
 		r.wake.Stop()
 		r.wake = r.loop.After(a.In, func() { r.pending = append(r.pending, balance.Wake{}) })
 	case balance.Track:
 		r.watcher.Track()
 	case balance.Lead:
+		r.believe(a)
 		r.record(audit.Primary{Group: a.Group, Node: a.Node, Believed: a.Believed, Why: a.Why})
 	case balance.Log:
 		text := a.Text[:min(len(a.Text), r.lim.LogText)]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -102,7 +102,8 @@
 	module  *balance.Router
 	servers Servers
 	watcher Watcher
-	audit   Audit // nil = nothing is recorded
+	audit   Audit   // nil = nothing is recorded
+	holder  *holder // nil = nothing is held through a change of primary
 	classes map[string]balance.Class
 
 	pending []balance.Event
@@ -127,9 +128,11 @@
 	sentAt time.Duration
 	began  bool // its answer is passed on as it comes
 	over   bool // answered, or its client has left
+	parked bool // held through a change of primary: the module does not know of it
 
 	attempts []audit.Attempt // those that have ended, where there is a record
 	firstAt  time.Duration   // when the first one began
+	before   int             // attempts before it was handed to the module again, none of which ran
 	worked   time.Duration
 }
 
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -16,6 +16,7 @@
 	if leg == 0 {
 		q.firstAt = q.sentAt
 	}
+	r.sent(q)
 	ended := false // the servers may report the end before Start returns
 	call := r.servers.Start(Attempt{Node: a.Node, Job: q.Job, Until: q.dieAt, By: a.By, Begun: func(a Answer, f Flow) {
 		r.begin(q, leg, a, f)
@@ -64,10 +65,17 @@
 	}
 }
 
-func (r *Router) probe(node string) {
+// probe asks for a report that the module wants, or the holder.
+func (r *Router) probe(node string, own bool) {
 	at := r.loop.Now()
 	r.servers.Probe(node, func(res Result) {
+		if !own && res.Status != balance.Done {
+			// The module waits longer for a member with each probe that fails: the holder's are many more than its own.
+			r.reported(node, res)
+			return
+		}
 		r.pending = append(r.pending, balance.ProbeResult{Node: node, Status: res.Status, Took: r.loop.Now() - at,
 			Role: res.Role, Position: res.Position})
+		r.reported(node, res)
 	})
 }
--- a/internal/router/takein.go
+++ b/internal/router/takein.go
@@ -68,7 +68,9 @@
 	r.end(q)
 	r.count.Left++
 	r.answered(q, audit.Left, audit.Answer{})
-	r.leave(q)
+	if !q.parked {
+		r.leave(q)
+	}
 	if r.classes[q.Class].Effect == balance.Safe {
 		r.cancel(q, balance.Cancelled)
 	}
--- /dev/null
+++ b/internal/standin/check/check.go
@@ -0,0 +1,125 @@
+// Package check is a checker of the rules on writes: it compares what clients were told with what db machines ran. It
+// knows nothing of the router.
+package check
+
+import (
+	"fmt"
+	"time"
+)
+
+// Job is a write as its client saw it.
+type Job struct {
+	ID       string
+	Sent     time.Time
+	Deadline time.Duration // after Sent its client gives up
+	Answers  int           // how many came
+	Answered time.Time
+	Code     string // of the answer, "" = served
+	After    string // field D of a refusal, milliseconds
+	Left     bool   // the client has gone before any answer
+}
+
+// Run is a statement that a db machine has run.
+type Run struct {
+	ID     string
+	Member string
+	At     time.Time
+	Write  bool
+}
+
+// Drain is a moment from which a db machine was told to be out.
+type Drain struct {
+	Member string
+	From   time.Time
+	Until  time.Time // zero = to the end
+}
+
+// The codes of final answers.
+const (
+	refused = "53300"
+	failed  = "08007"
+)
+
+// slack is what a busy machine may add to a client's own reading of its clock.
+const slack = 100 * time.Millisecond
+
+// drainLimit is how long after a drain was told a new write may still come.
+const drainLimit = 2 * time.Second
+
+// Jobs returns every breach: a job that was not answered once and in time, ran twice, ran though it was refused, did not
+// run though it was served, or reached a machine that was out.
+func Jobs(jobs []Job, runs []Run, drains []Drain) (faults []string) {
+	bad := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+	ran := map[string][]Run{}
+	for _, r := range runs {
+		if !r.Write {
+			continue
+		}
+		ran[r.ID] = append(ran[r.ID], r)
+		for _, d := range drains {
+			if d.Member == r.Member && r.At.After(d.From.Add(drainLimit)) && (d.Until.IsZero() || r.At.Before(d.Until)) {
+				bad("%s ran at %s, %v after its drain", r.ID, r.Member, r.At.Sub(d.From))
+			}
+		}
+	}
+	seen := map[string]bool{}
+	for _, j := range jobs {
+		if seen[j.ID] {
+			bad("%s was asked twice: the script is wrong", j.ID)
+		}
+		seen[j.ID] = true
+		n := len(ran[j.ID])
+		if n > 1 {
+			bad("%s ran %d times: %+v", j.ID, n, ran[j.ID])
+		}
+		if j.Left {
+			continue
+		}
+		if j.Answers != 1 {
+			bad("%s has %d answers", j.ID, j.Answers)
+			continue
+		}
+		if took := j.Answered.Sub(j.Sent); took > j.Deadline+slack {
+			bad("%s was answered after %v, its client waits %v", j.ID, took, j.Deadline)
+		}
+		switch j.Code {
+		case "":
+			if n != 1 {
+				bad("%s was served and ran %d times", j.ID, n)
+			}
+		case refused:
+			if n != 0 {
+				bad("%s was refused and ran at %s", j.ID, ran[j.ID][0].Member)
+			}
+			if j.After == "" || j.After == "0" {
+				bad("%s was refused without a time to come back", j.ID)
+			}
+		case failed:
+		default:
+			bad("%s ended in %s", j.ID, j.Code)
+		}
+	}
+	for id, rs := range ran {
+		if !seen[id] {
+			bad("%s ran at %s and nobody asked for it", id, rs[0].Member)
+		}
+	}
+	return faults
+}
+
+// Count says how many jobs ended how.
+func Count(jobs []Job) (served, refusals, failures, left int) {
+	for _, j := range jobs {
+		switch {
+		case j.Left:
+			left++
+		case j.Code == "":
+			served++
+		case j.Code == refused:
+			refusals++
+		default:
+			failures++
+		}
+	}
+	return
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"limeladder/internal/pgwire"
+	"limeladder/internal/standin/check"
 	"limeladder/internal/statement"
 )
 
@@ -36,19 +37,33 @@
 	primary bool
 	act     func(typ byte, id string) Act
 	runs    map[string]int
+	log     []check.Run
 	conns   map[net.Conn]bool
+	hung    chan struct{} // not nil = it does nothing until this is closed
+	behind  time.Duration // its data is so old
 }
 
 // NewDB starts a db machine. act, if not nil, is asked at each message of a statement with the given id; type 0 is
 // the startup message.
 func NewDB(t testing.TB, primary bool, act func(typ byte, id string) Act) *DB {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	d := &DB{Addr: "127.0.0.1:0", primary: primary, act: act, runs: map[string]int{}, conns: map[net.Conn]bool{}}
+	if err := d.Start(); err != nil {
 		t.Fatal(err)
 	}
-	d := &DB{Addr: ln.Addr().String(), ln: ln, primary: primary, act: act, runs: map[string]int{}, conns: map[net.Conn]bool{}}
-	t.Cleanup(d.Stop)
+	t.Cleanup(func() { d.Stop(); d.Hang(false) })
+	return d
+}
+
+// Start lets it come back at its address.
+func (d *DB) Start() error {
+	ln, err := net.Listen("tcp", d.Addr)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.ln, d.Addr = ln, ln.Addr().String()
+	d.mu.Unlock()
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -61,17 +76,63 @@
 			go d.serve(c)
 		}
 	}()
-	return d
+	return nil
 }
 
 // Stop ends it and all its connections.
 func (d *DB) Stop() {
-	d.ln.Close()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.ln.Close()
 	for c := range d.conns {
 		c.Close()
+		delete(d.conns, c)
+	}
+}
+
+// Hang makes it do nothing at all, connections it accepts included, until it is let go on: what had come it does then.
+func (d *DB) Hang(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if on && d.hung == nil {
+		d.hung = make(chan struct{})
+	} else if !on && d.hung != nil {
+		close(d.hung)
+		d.hung = nil
+	}
+}
+
+func (d *DB) wait() {
+	d.mu.Lock()
+	ch := d.hung
+	d.mu.Unlock()
+	if ch != nil {
+		<-ch
+	}
+}
+
+// Behind sets how old its data is, where it is no primary.
+func (d *DB) Behind(by time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.behind = by
+}
+
+// Log returns what it has run.
+func (d *DB) Log() []check.Run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]check.Run(nil), d.log...)
+}
+
+// position is what it says of its data.
+func (d *DB) position(primary bool) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if primary {
+		return time.Now()
 	}
+	return time.Now().Add(-d.behind)
 }
 
 // Lead sets whether it is the primary.
@@ -109,6 +170,7 @@
 		if err != nil {
 			return
 		}
+		d.wait()
 		r.Feed(buf[:n])
 		for {
 			m, ok, err := r.Next()
@@ -144,7 +206,7 @@
 			d.mu.Unlock()
 			write := h.Class == "job"
 			if m.Type == 'Q' && sql == "SHOW stats" {
-				v := "x0=" + strconv.FormatFloat(float64(time.Now().UnixMilli())/1000, 'f', 3, 64) + ",x1=" + flag(primary) + ",util=0.5"
+				v := "x0=" + strconv.FormatFloat(float64(d.position(primary).UnixMilli())/1000, 'f', 3, 64) + ",x1=" + flag(primary) + ",util=0.5"
 				out = d.ready(row("SHOW", pgwire.Append(out, 'T', []byte("\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00")), v), primary)
 			} else if code := a.Code; m.Type != 0 && m.Type != 'S' && !failed {
 				if runs := m.Type == 'Q' || m.Type == 'E'; runs && code == "" {
@@ -156,6 +218,7 @@
 					default:
 						d.mu.Lock()
 						d.runs[h.ID]++
+						d.log = append(d.log, check.Run{ID: h.ID, Member: d.Addr, At: time.Now(), Write: write})
 						d.mu.Unlock()
 					}
 				}
@@ -239,7 +302,7 @@
 		mode = "read-write"
 	}
 	out = pgwire.AppendPair(out, "mode", mode)
-	out = pgwire.AppendPair(out, "wal_time", strconv.FormatInt(time.Now().UnixMilli(), 10))
+	out = pgwire.AppendPair(out, "wal_time", strconv.FormatInt(d.position(primary).UnixMilli(), 10))
 	return pgwire.AppendReady(out)
 }
 
