Holding through reload, upgrade and restart; terms kept in the store

A process may be told to read its configuration, be replaced or end while it holds writes, and a restarted one must not begin its terms anew.

--- a/cmd/limeladder/changeover.go
+++ b/cmd/limeladder/changeover.go
@@ -40,22 +40,36 @@
 	Primary string `json:"primary"`
 }
 
-// succeeded keeps a successor where the store is on.
+// succeeded keeps a successor where the store is on, once it is known what an earlier start has kept.
 func (d *daemon) succeeded(bank int64, term uint64, primary string) {
-	d.keep("primary/"+strconv.FormatInt(bank, 10), succession{term, primary})
+	if d.hinted {
+		d.keep("primary/"+strconv.FormatInt(bank, 10), succession{term, primary})
+	}
 }
 
-// hint tells the core what an earlier start knew of the banks that are listed. It is checked before it is believed.
+// hint tells the core what an earlier start knew of the banks, once the store has caught up. It is checked before it is
+// believed.
 func (d *daemon) hint() {
-	if d.store == nil {
+	if len(d.dep.Changeover.Classes) == 0 || d.dep.Store.Name == "" || d.hinted {
+		return
+	}
+	if d.store == nil || !d.store.Ready() || !d.told {
+		d.loop.After(d.lim.Share, d.hint)
 		return
 	}
+	d.hinted = true
 	for _, v := range d.core.Banks() {
 		var s succession
-		if p, ok := d.store.Get("primary/" + strconv.FormatInt(v.Bank, 10)); ok && json.Unmarshal(p, &s) == nil {
+		p, ok := d.store.Get("primary/" + strconv.FormatInt(v.Bank, 10))
+		if ok && json.Unmarshal(p, &s) == nil {
 			d.core.Hint(v.Bank, s.Term, s.Primary)
 		}
 	}
+	for _, v := range d.core.Banks() {
+		if v.Primary != "" {
+			d.succeeded(v.Bank, v.Term, v.Primary)
+		}
+	}
 }
 
 // cell is a bank as operators see it. Times are in milliseconds; those of the history are before now.
--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -42,6 +42,7 @@
 	record   *recording      // nil = off
 	store    *store.Store    // nil = off
 	told     bool            // discovery has answered
+	hinted   bool            // what an earlier start knew of primaries is told to the core
 	operator *sock.Listener  // nil = off
 	known    map[string]bool // the db machines that discovery has named, ever
 	order    []string        // the same, in the order it did
@@ -268,11 +269,8 @@
 	if l.Full {
 		kind = balance.ListFull
 	}
-	first := !d.told
 	d.told = true
-	if d.listed(l, kind); first {
-		d.hint()
-	}
+	d.listed(l, kind)
 	d.ready()
 	if l.Full {
 		d.keep("list", l)
--- a/internal/changeover/model.go
+++ b/internal/changeover/model.go
@@ -401,9 +401,12 @@
 	}
 }
 
-// Hint is what an earlier start knew: the term goes on from there, and the primary is asked first.
+// Hint is what an earlier start knew: the term goes on from there, and the primary is asked first. It may come late.
 func (m *Model) Hint(id int64, term uint64, node string) {
 	b := m.bank(id)
+	if b.primary != nil && b.primary.id != node {
+		term++ // it comes late: another one has followed meanwhile
+	}
 	b.term = max(b.term, term)
 	if n := m.nodes[node]; n != nil && n.bank == b && b.primary == nil {
 		n.posAt = 1 // checked before it is believed: it only goes first
--- a/internal/changeover/model_test.go
+++ b/internal/changeover/model_test.go
@@ -387,6 +387,7 @@
 	}
 	m.Believe(1, 1, "a")
 	m.Hint(1, 7, "b")
+	m.Hint(1, 42, "a")
 	if _, term, primary, _ := m.Bank(1); term != 42 || primary != "a" {
 		t.Fatalf("%d %q", term, primary)
 	}
--- /dev/null
+++ b/internal/router/hold_bench_test.go
@@ -0,0 +1,101 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/changeover"
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+)
+
+// quick plays db machines that answer at once.
+type quick struct{ l *loop.Loop }
+
+func (k quick) Start(a Attempt, done func(Result)) Call {
+	k.l.Post(func() { done(Result{Status: balance.Done, Role: balance.RolePrimary}) })
+	return k
+}
+func (quick) Cancel() bool                         { return true }
+func (quick) Probe(node string, done func(Result)) { done(Result{Status: balance.TimedOut}) }
+func (quick) Suspend(string, bool)                 {}
+func (quick) Track()                               {}
+func (quick) Begun(Answer, Flow)                   {}
+func (quick) Part([]byte)                          {}
+func (quick) Cut()                                 {}
+func (quick) Refused(time.Duration)                {}
+func (quick) Failed(string)                        {}
+func (quick) Served(Answer)                        {}
+
+func steady(b testing.TB, hold bool) (*Router, *loop.Loop) {
+	l := loop.New()
+	lim := limits.For(192, 8192, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	r, err := New(l, lim, slog.New(slog.NewTextHandler(io.Discard, nil)), balance.Config{Instances: 1, Zone: "a", MostTries: 4, Classes: []balance.Class{
+		{Name: "job", Aim: 100 * time.Millisecond, GiveUp: 3 * time.Second, Worth: 1, Need: balance.NeedUpdate, Effect: balance.Unsafe}}}, 1, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.Connect(quick{l}, quick{l})
+	if hold {
+		r.HoldThrough(changeover.Config{Instances: 1, Classes: map[string]changeover.Class{"job": {Worth: 1, Work: 10 * time.Millisecond}}, Count: 20_000, Bytes: 1 << 30,
+			Margin: 10 * time.Millisecond}, 1, nil)
+	}
+	r.List(balance.List{Kind: balance.ListFull, Entries: []balance.Entry{{Node: "n1", Zone: "a", State: balance.Ready, Primary: true}, {Node: "n2", Zone: "a", State: balance.Ready}}})
+	r.Step()
+	return r, l
+}
+
+// BenchmarkSteadyWrite routes writes one after the other through a bank whose primary stands, without and with holding.
+func BenchmarkSteadyWrite(b *testing.B) {
+	for round := range 3 { // by turns, so that the machine treats them alike
+		for _, hold := range []bool{false, true} {
+			b.Run(fmt.Sprintf("holding %v, round %d", hold, round), func(b *testing.B) {
+				r, l := steady(b, hold)
+				n := 0
+				var next func()
+				next = func() {
+					if n++; n > b.N {
+						l.Stop()
+						return
+					}
+					r.Take(Request{Class: "job", Label: strconv.Itoa(n), Deadline: time.Second, At: l.Now()}, quick{l})
+					l.Post(func() { l.Post(next) })
+				}
+				b.ResetTimer()
+				l.Post(next)
+				l.Run(r.Step)
+			})
+		}
+	}
+}
+
+// BenchmarkTenThousandHeld tells what ten thousand writes cost while they are held in the core: the whole of them, and what
+// of it holding adds to what a request costs anyway.
+func BenchmarkTenThousandHeld(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for b.Loop() {
+		r, l := steady(b, true)
+		r.act(balance.Lead{Group: 0, Node: "n1"})
+		before := heap()
+		const n = 10_000
+		for i := range n {
+			r.Take(Request{Class: "job", Label: strconv.Itoa(i), Client: strconv.Itoa(i % 500), Deadline: 3 * time.Second, At: l.Now()}, quick{l})
+		}
+		if v := r.Banks(); len(v) != 1 || v[0].Held != n {
+			b.Fatalf("%+v", v)
+		}
+		b.ReportMetric((heap()-before)/(1<<20), "MiB")
+		runtime.KeepAlive(r)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -108,6 +108,14 @@
 // Torn is the number of bytes that the start found unfinished and dropped.
 func (s *Store) Torn() int64 { return s.wal.torn }
 
+// Ready says whether this member has caught up with what the peers have agreed on: what Get returns is no older than the
+// start.
+func (s *Store) Ready() bool {
+	_, leader := s.raft.LeaderWithID()
+	commit := s.raft.CommitIndex()
+	return leader != "" && commit > 0 && s.raft.AppliedIndex() >= commit
+}
+
 // Get reads what this member has. It may be behind the others.
 func (s *Store) Get(key string) ([]byte, bool) { return s.state.get(key) }
 
