A steady write costs holding next to nothing

A write through a bank whose primary stands cost the core a tenth more with holding on: each stage looked its class and bank up again. Whether a class may be held is noted once, and the model returns at once where nothing is held or out.

--- a/cmd/limeladder/changeover_test.go
+++ b/cmd/limeladder/changeover_test.go
@@ -347,6 +347,7 @@
 				for _, l := range s.leads {
 					if d, ok := s.first(l); ok {
 						firsts = append(firsts, d)
+						t.Logf("first write %v after %s led", d, l.member)
 					}
 				}
 				mu.Unlock()
--- a/internal/changeover/hold.go
+++ b/internal/changeover/hold.go
@@ -142,8 +142,8 @@
 
 // expect is the time that a request of a class takes once it is sent.
 func (m *Model) expect(class string) time.Duration {
-	if w := m.work[class]; w > 0 {
-		return w
+	if w := m.work[class]; w != nil {
+		return *w
 	}
 	return m.cfg.Classes[class].Work
 }
@@ -191,11 +191,15 @@
 
 // Done says that a request is answered, or that its client has left.
 func (m *Model) Done(now time.Duration, bank int64, id string) {
+	if len(m.held)+m.outs == 0 {
+		return
+	}
 	if h := m.held[id]; h != nil {
 		m.drop(h)
 	}
 	if b := m.banks[bank]; b != nil && b.out[id] {
 		delete(b.out, id)
+		m.outs--
 		m.let(b, now)
 	}
 }
@@ -238,6 +242,7 @@
 			continue
 		}
 		b.out[h.ID] = true
+		m.outs++
 		b.released++
 		m.do(Action{Kind: Release, ID: h.ID, Bank: b.id})
 	}
--- a/internal/changeover/model.go
+++ b/internal/changeover/model.go
@@ -151,8 +151,9 @@
 	byName  map[string]*client
 	bytes   int
 	acts    []Action
-	work    map[string]time.Duration // what a served request of a class takes
-	usual   time.Duration            // how long a change takes
+	work    map[string]*time.Duration // what a served request of a class takes
+	outs    int                       // let out and not answered, in all banks
+	usual   time.Duration             // how long a change takes
 }
 
 // bank is one group.
@@ -217,7 +218,7 @@
 // New returns a Model that knows no bank.
 func New(cfg Config, seed uint64) *Model {
 	return &Model{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0xc4a)), banks: map[int64]*bank{}, nodes: map[string]*member{}, held: map[string]*hold{},
-		byName: map[string]*client{}, work: map[string]time.Duration{}, usual: changeUsual}
+		byName: map[string]*client{}, work: map[string]*time.Duration{}, usual: changeUsual}
 }
 
 // Actions returns what is to be done since the last call.
@@ -440,11 +441,17 @@
 	if n == nil {
 		return
 	}
-	n.waiting = slices.DeleteFunc(n.waiting, func(a attempt) bool { return a.id == id })
+	for i, a := range n.waiting { // they end about in the order of their sends
+		if a.id == id {
+			n.waiting = append(n.waiting[:i], n.waiting[i+1:]...)
+			break
+		}
+	}
 	b := n.bank
 	m.place(n, pos, now)
-	if b.out[id] {
+	if m.outs > 0 && b.out[id] {
 		delete(b.out, id)
+		m.outs--
 		switch end {
 		case Fine:
 			b.window = min(windowMost, b.window+1)
@@ -456,7 +463,13 @@
 	case Fine:
 		if took > 0 && class != "" {
 			m.learn(n, took)
-			m.work[class] = m.expect(class) + time.Duration(markSmooth*float64(took-m.expect(class)))
+			w := m.work[class]
+			if w == nil {
+				first := m.cfg.Classes[class].Work
+				w = &first
+				m.work[class] = w
+			}
+			*w += time.Duration(markSmooth * float64(took-*w))
 		}
 		m.answered(n, now)
 		if role == RolePrimary && b.in() && n != b.primary {
@@ -601,6 +614,7 @@
 				due(min(b.settleAt, now+settleFor/4))
 			}
 			if now >= b.settleAt {
+				m.outs -= len(b.out)
 				clear(b.out) // lost count of some: they must not stop the rest
 				b.settleAt = now + settleFor
 				m.let(b, now)
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -17,7 +17,10 @@
 	// The module ends what it holds in time; the timer is for attempts that are out, and guards against a
 	// request that would stay without any answer.
 	q.timer = r.loop.After(q.dieAt-r.loop.Now(), func() { r.expire(q) })
-	if !r.holds(q) {
+	if r.holder != nil {
+		_, q.waits = r.holder.classes[q.Class]
+	}
+	if !q.waits || !r.holds(q) {
 		r.enter(q)
 	}
 }
--- a/internal/router/hold.go
+++ b/internal/router/hold.go
@@ -94,11 +94,10 @@
 
 // sent tells of an attempt.
 func (r *Router) sent(q *request) {
-	if h := r.holder; h != nil {
-		if _, ok := h.classes[q.Class]; ok {
-			now := r.loop.Now()
-			h.model.Sent(now, q.node, q.id)
-			r.wakeHolder(now + 50*time.Millisecond)
+	if q.waits {
+		r.holder.model.Sent(q.sentAt, q.node, q.id)
+		if r.holder.timer == nil {
+			r.wakeHolder(q.sentAt + 50*time.Millisecond)
 		}
 	}
 }
@@ -123,11 +122,11 @@
 		end = changeover.Unreached
 	}
 	class := ""
-	if _, ok := h.classes[q.Class]; ok && res.Status == balance.Done {
+	if q.waits && res.Status == balance.Done {
 		class = q.Class
 	}
 	h.model.Ended(r.loop.Now(), q.node, q.id, end, role(res.Role), res.Position, class, took)
-	if _, ok := h.classes[q.Class]; ok {
+	if q.waits && res.Status != balance.Done {
 		r.withdraw(q)
 	}
 }
@@ -202,10 +201,8 @@
 
 // released tells that a request is answered.
 func (r *Router) released(q *request) {
-	if h := r.holder; h != nil {
-		if _, ok := h.classes[q.Class]; ok {
-			h.model.Done(r.loop.Now(), q.Group, q.id)
-		}
+	if q.waits {
+		r.holder.model.Done(r.loop.Now(), q.Group, q.id)
 	}
 }
 
@@ -261,7 +258,7 @@
 		r.probe(a.Node, false)
 	case changeover.Withdraw:
 		for _, q := range r.inHand {
-			if _, ok := h.classes[q.Class]; ok && q.Group == a.Bank {
+			if q.waits && q.Group == a.Bank {
 				r.withdraw(q)
 			}
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -128,6 +128,7 @@
 	sentAt time.Duration
 	began  bool // its answer is passed on as it comes
 	over   bool // answered, or its client has left
+	waits  bool // its class is one that may be held
 	parked bool // held through a change of primary: the module does not know of it
 
 	attempts []audit.Attempt // those that have ended, where there is a record
