--- a/cmd/limeladder/changeover_test.go
+++ b/cmd/limeladder/changeover_test.go
@@ -347,7 +347,7 @@
 				for _, l := range s.leads {
 					if d, ok := s.first(l); ok {
 						firsts = append(firsts, d)
-						t.Logf("first write %v after %s led", d, l.member)
+						t.Logf("%s: first write %v after %s led", t.Name(), d, l.member)
 					}
 				}
 				mu.Unlock()
--- a/internal/changeover/hold.go
+++ b/internal/changeover/hold.go
@@ -121,6 +121,10 @@
 	if m.held[q.ID] != nil {
 		m.let(h.bank, now)
 	}
+	// Before anything was held its members were asked now and then only.
+	if b := h.bank; b.in() && b.asked <= probeBudget*max(1, len(b.members)) {
+		b.nextAsk = min(b.nextAsk, now+b.gap*3/4+time.Duration(m.rng.Int64N(int64(b.gap/2))))
+	}
 }
 
 // least is the least valuable one of the client that has the most held: of the least worth, and among equals the one that
--- a/internal/router/hold.go
+++ b/internal/router/hold.go
@@ -64,7 +64,9 @@
 	if s, ok := q.Job.(interface{ Size() int }); ok {
 		size = s.Size()
 	}
-	h.model.Hold(r.loop.Now(), changeover.Request{ID: q.id, Bank: q.Group, Class: q.Class, Client: r.whose(q), Deadline: q.At + q.Deadline, Size: size})
+	now := r.loop.Now()
+	h.model.Hold(now, changeover.Request{ID: q.id, Bank: q.Group, Class: q.Class, Client: r.whose(q), Deadline: q.At + q.Deadline, Size: size})
+	r.wakeHolder(now + 10*time.Millisecond)
 	return true
 }
 
