Read again: silence right behind a change is seen, the list's difference lives in the model

Reading the change once more showed a fault: with a later timer pending, such as a settled bank's, the silence of the next primary was looked at up to a second late. Each write now asks to be looked at in time. A 25006 that names no role counts as one too; which members a whole list leaves out the model finds itself; cmp.Or, one number reader and one way to run on a held socket replace copies. SIGHUP to a TLS collector, long statements and a hang right behind a change are tested.

--- a/cmd/limeladder/changeover.go
+++ b/cmd/limeladder/changeover.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -29,8 +30,8 @@
 		}
 		classes[name] = changeover.Class{Worth: k.Worth, Work: k.Aim / 10}
 	}
-	d.core.HoldThrough(changeover.Config{Instances: cfg.Balance.Instances, Classes: classes, Count: pick(d.lim.Held, c.Count),
-		Bytes: pick(d.lim.HeldBytes, c.Bytes), Time: c.Time, Margin: d.lim.AnswerBefore, MaxAfter: cfg.Balance.MaxRetryAfter}, cfg.SeedValue, d.succeeded)
+	d.core.HoldThrough(changeover.Config{Instances: cfg.Balance.Instances, Classes: classes, Count: cmp.Or(c.Count, d.lim.Held),
+		Bytes: cmp.Or(c.Bytes, d.lim.HeldBytes), Time: c.Time, Margin: d.lim.AnswerBefore, MaxAfter: cfg.Balance.MaxRetryAfter}, cfg.SeedValue, d.succeeded)
 	return nil
 }
 
--- a/cmd/limeladder/changeover_test.go
+++ b/cmd/limeladder/changeover_test.go
@@ -38,6 +38,7 @@
 	ended    chan bool
 	done     sync.WaitGroup
 	deadline time.Duration
+	pad      string // stands in each statement
 }
 
 // lead is a moment from which a db machine takes writes.
@@ -131,10 +132,11 @@
 	s.done.Add(1)
 	go func() {
 		defer s.done.Done()
-		addr, p := s.addr, pgwire.AppendQuery(nil, fmt.Sprintf("/* id=%s,c=job,d=%d,cluster=%d */ SELECT 1", id, s.deadline.Milliseconds(), 7+bank))
+		text := fmt.Sprintf("/* id=%s,c=job,d=%d,cluster=%d */ SELECT '%s'", id, s.deadline.Milliseconds(), 7+bank, s.pad)
+		addr, p := s.addr, pgwire.AppendQuery(nil, text)
 		if extended {
 			addr = s.second
-			p = pgwire.AppendParse(nil, pgwire.ParseMessage{Query: fmt.Sprintf("/* id=%s,c=job,d=%d,cluster=%d */ SELECT 1", id, s.deadline.Milliseconds(), 7+bank)})
+			p = pgwire.AppendParse(nil, pgwire.ParseMessage{Query: text})
 			p = pgwire.AppendBind(p, pgwire.BindMessage{Rest: []byte{0, 0, 0, 0, 0, 0}})
 			p = pgwire.Append(pgwire.AppendExecute(p, "", 0), 'S')
 		}
@@ -217,6 +219,7 @@
 	name    string
 	banks   int
 	leavers bool
+	size    int  // bytes that each statement carries
 	lossy   bool // refusals are in the nature of it
 	act     func(s *scene, rng *rand.Rand)
 }
@@ -285,6 +288,12 @@
 			pause(30 * time.Millisecond)
 			change(s, 0, 1, 2, "dies", 300*time.Millisecond)
 		}},
+		script{name: "long statements", size: 100_000, act: func(s *scene, rng *rand.Rand) { change(s, 0, 0, 1, "dies", 500*time.Millisecond) }},
+		script{name: "another one hangs right behind", act: func(s *scene, rng *rand.Rand) {
+			change(s, 0, 0, 1, "dies", 100*time.Millisecond)
+			pause(200 * time.Millisecond) // settled, and nothing is looked at for a second
+			change(s, 0, 1, 2, "hangs", 300*time.Millisecond)
+		}},
 		script{name: "five changes", act: func(s *scene, rng *rand.Rand) {
 			for i := range 5 {
 				change(s, 0, i%3, (i+1)%3, "says no", 100*time.Millisecond)
@@ -330,6 +339,7 @@
 			t.Run(sc.name, func(t *testing.T) {
 				t.Parallel()
 				s := newScene(t, max(1, sc.banks), true, 1500*time.Millisecond)
+				s.pad = strings.Repeat("x", sc.size)
 				go func() {
 					pause(300 * time.Millisecond)
 					sc.act(s, rand.New(rand.NewPCG(uint64(i), 10)))
--- a/cmd/limeladder/daemon_test.go
+++ b/cmd/limeladder/daemon_test.go
@@ -269,20 +269,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	free := func() string {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer ln.Close()
-		return ln.Addr().String()
-	}
-	dir, tmp, second, peer := t.TempDir(), t.TempDir(), free(), free()
+	dir, tmp, second, peer := t.TempDir(), t.TempDir(), freeAddr(t), freeAddr(t)
 	os.WriteFile(dir+"/config.json", []byte(configText(discovery.Listener.Addr().String())), 0o600)
 	os.WriteFile(dir+"/deploy.toml", []byte(fmt.Sprintf("[extended]\nlisten = %q\n[store]\nname = \"n1\"\nfolder = %q\n[store.peers]\nn1 = %q\n",
 		second, t.TempDir(), peer)), 0o600)
 	start := func() (cmd *exec.Cmd, operator string) {
-		cmd, operator = program(dir+"/config.json"), free()
+		cmd, operator = program(dir+"/config.json"), freeAddr(t)
 		cmd.ExtraFiles = []*os.File{held}
 		cmd.Env = append(cmd.Env, "EDGE_INHERITED_FD=3", "TMPDIR="+tmp, "EDGE_OPERATOR="+operator, "LIMELADDER_DEPLOY="+dir+"/deploy.toml",
 			"EDGE_LISTEN="+ln.Addr().String())
--- a/cmd/limeladder/holding_test.go
+++ b/cmd/limeladder/holding_test.go
@@ -3,10 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
-	"os"
-	"os/exec"
 	"strings"
 	"sync"
 	"syscall"
@@ -42,32 +39,7 @@
 func TestHoldingThroughReloadUpgradeAndEnd(t *testing.T) {
 	r := newRig(t, nil)
 	r.file("deploy.toml", "[changeover]\nclasses = [\"job\"]\n")
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	socket, err := ln.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.addr = ln.Addr().String()
-	os.MkdirAll(r.dir+"/tmp", 0o700)
-	run := func() *exec.Cmd {
-		cmd := program(r.dir + "/config.json")
-		r.op = freeAddr(t)
-		cmd.ExtraFiles = []*os.File{socket}
-		cmd.Env = append(cmd.Env, "EDGE_INHERITED_FD=3", "TMPDIR="+r.dir+"/tmp", "EDGE_OPERATOR="+r.op, "LIMELADDER_DEPLOY="+r.dir+"/deploy.toml", "EDGE_LISTEN="+r.addr)
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { cmd.Process.Kill() })
-		r.until("ready", func() bool {
-			a, err := http.Get("http://" + r.op + "/v1/readyz")
-			return err == nil && a.StatusCode == 200
-		})
-		return cmd
-	}
+	run := r.inherited()
 	var mu sync.Mutex
 	var jobs []check.Job
 	var done sync.WaitGroup
--- a/cmd/limeladder/main.go
+++ b/cmd/limeladder/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"math"
@@ -15,7 +16,7 @@
 
 // deployPath is the operators' own file.
 func deployPath(getenv func(string) string) string {
-	return pick("deploy/limeladder.toml", getenv("LIMELADDER_DEPLOY"))
+	return cmp.Or(getenv("LIMELADDER_DEPLOY"), "deploy/limeladder.toml")
 }
 
 func main() {
--- a/cmd/limeladder/record.go
+++ b/cmd/limeladder/record.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -37,15 +38,6 @@
 	flush    time.Duration
 }
 
-// pick is b, or a where that is not set.
-func pick[T comparable](a, b T) T {
-	var none T
-	if b == none {
-		return a
-	}
-	return b
-}
-
 // startRecording starts what deploy/limeladder.toml turns on, or returns nil.
 func startRecording(l *loop.Loop, lim limits.Limits, dep config.Deploy, name string, seed uint64, log *slog.Logger) (*recording, error) {
 	c, a := dep.Syslog, dep.Audit
@@ -59,7 +51,7 @@
 	began := time.Now()
 	// The seed is the same in two processes of one router: the id needs chance of its own.
 	start := audit.Stem(began, rand.Uint32())
-	enc := audit.EncoderOptions{Head: syslog.Head{Facility: c.FacilityCode, Host: pick(syslog.HostName(), c.Host), App: "limeladder",
+	enc := audit.EncoderOptions{Head: syslog.Head{Facility: c.FacilityCode, Host: cmp.Or(c.Host, syslog.HostName()), App: "limeladder",
 		Proc: strconv.Itoa(os.Getpid())}, Enterprise: uint32(c.Enterprise), Most: c.Bytes, Software: "limeladder", Version: version(),
 		Start: start, Began: began, Refused: pgwire.TooManyConnections, Failed: pgwire.UnknownOutcome, Quality: clock}
 	var key string
@@ -70,18 +62,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("audit.keys: %w", err)
 	}
-	r := &recording{log: log, loop: l, lim: lim, dep: dep, states: map[string]string{}, flush: pick(lim.SyslogFlush, c.Queue.Flush)}
+	r := &recording{log: log, loop: l, lim: lim, dep: dep, states: map[string]string{}, flush: cmp.Or(c.Queue.Flush, lim.SyslogFlush)}
 	r.sender, err = syslog.NewSender(syslog.Options{Collectors: c.Parsed, TLS: c.TLS, Seed: seed, Window: max(lim.SyslogWindow, 2*c.Bytes),
 		Repeat: c.Repeat, Spool: c.Spool.Folder, Name: start, Replay: c.Spool.Replay,
-		Disk:    spool.Options{Segment: lim.SpoolSegment, Most: pick(int64(lim.SpoolBytes), c.Spool.Bytes), Message: c.Bytes},
+		Disk:    spool.Options{Segment: lim.SpoolSegment, Most: cmp.Or(c.Spool.Bytes, int64(lim.SpoolBytes)), Message: c.Bytes},
 		Connect: lim.SyslogUp, Stall: lim.SyslogStall, First: lim.SyslogFirst, Last: lim.SyslogLast, Prefer: lim.SyslogPrefer}, log)
 	if err != nil {
 		return nil, fmt.Errorf("syslog.spool.folder: %w", err)
 	}
-	r.queue = audit.NewQueue(pick(lim.AuditRecords, c.Queue.Records), pick(lim.AuditBytes, c.Queue.Bytes))
+	r.queue = audit.NewQueue(cmp.Or(c.Queue.Records, lim.AuditRecords), cmp.Or(c.Queue.Bytes, lim.AuditBytes))
 	r.recorder = audit.NewRecorder(policy, r.queue, time.Now)
-	r.shipper = audit.NewShipper(audit.ShipperOptions{Gather: lim.AuditGather, Heads: uint64(pick(lim.AuditHeads, a.Heads)),
-		Every: pick(lim.AuditEvery, a.Every), Now: time.Now}, r.queue, encoder, r.sender)
+	r.shipper = audit.NewShipper(audit.ShipperOptions{Gather: lim.AuditGather, Heads: uint64(cmp.Or(a.Heads, lim.AuditHeads)),
+		Every: cmp.Or(a.Every, lim.AuditEvery), Now: time.Now}, r.queue, encoder, r.sender)
 	r.recorder.Record(audit.Start{Router: name, Key: key})
 	log.Info("recording", "start", start, "collectors", fmt.Sprint(c.Parsed), "spool", c.Spool.Folder, "key", key)
 	l.Post(r.tick)
--- a/cmd/limeladder/record_test.go
+++ b/cmd/limeladder/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -82,8 +83,8 @@
 	for _, c := range cs {
 		urls = append(urls, fmt.Sprintf("%q", c.URL()))
 	}
-	r.file("deploy.toml", fmt.Sprintf("[syslog]\ncollectors = [%s]\n[syslog.spool]\nfolder = %q\n[audit]\nkeys = %q\nheads = 20\n%s",
-		strings.Join(urls, ", "), r.dir+"/spool", r.dir+"/keys.toml", more))
+	r.file("deploy.toml", fmt.Sprintf("[syslog]\ncollectors = [%s]\nca = %q\n[syslog.spool]\nfolder = %q\n[audit]\nkeys = %q\nheads = 20\n%s",
+		strings.Join(urls, ", "), r.dir+"/ca.pem", r.dir+"/spool", r.dir+"/keys.toml", more))
 }
 
 // start runs the program until it is ready.
@@ -99,10 +100,41 @@
 	}
 	cmd := r.cmd
 	r.t.Cleanup(func() { cmd.Process.Kill() })
-	r.until("ready", func() bool {
-		a, err := http.Get("http://" + r.op + "/v1/readyz")
-		return err == nil && a.StatusCode == 200
-	})
+	r.until("ready", r.ready)
+}
+
+// inherited is how to run the program on a socket that stays while one process follows the other.
+func (r *rig) inherited() (run func() *exec.Cmd) {
+	r.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { ln.Close() })
+	held, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.addr, r.log = ln.Addr().String(), &bytes.Buffer{}
+	os.MkdirAll(r.dir+"/tmp", 0o700)
+	return func() *exec.Cmd {
+		r.t.Helper()
+		cmd := program(r.dir + "/config.json")
+		r.op = freeAddr(r.t)
+		cmd.ExtraFiles = []*os.File{held}
+		cmd.Env = append(cmd.Env, "EDGE_INHERITED_FD=3", "TMPDIR="+r.dir+"/tmp", "EDGE_OPERATOR="+r.op, "LIMELADDER_DEPLOY="+r.dir+"/deploy.toml", "EDGE_LISTEN="+r.addr)
+		if err := cmd.Start(); err != nil {
+			r.t.Fatal(err)
+		}
+		r.t.Cleanup(func() { cmd.Process.Kill() })
+		r.until("ready", r.ready)
+		return cmd
+	}
+}
+
+func (r *rig) ready() bool {
+	a, err := http.Get("http://" + r.op + "/v1/readyz")
+	return err == nil && a.StatusCode == 200
 }
 
 func (r *rig) until(what string, is func() bool) {
@@ -418,7 +450,17 @@
 // SIGHUP brings another collector and another key; the chain goes on over both. What can't be taken changes nothing.
 func TestReloadOfTheRecord(t *testing.T) {
 	r := newRig(t, nil)
-	first, second := collectorFor(t, collector.Options{Network: "tcp"}), collectorFor(t, collector.Options{Network: "tcp"})
+	ca, err := collector.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, _, _, err := ca.Issue("collector.example", time.Now().Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.file("ca.pem", string(ca.PEM))
+	first := collectorFor(t, collector.Options{Network: "tcp"})
+	second := collectorFor(t, collector.Options{Network: "tls", TLS: &tls.Config{Certificates: []tls.Certificate{cert}}})
 	r.deploy("", first)
 	r.start()
 	r.ask("one", "look", 30, 2500)
@@ -462,32 +504,7 @@
 	r := newRig(t, nil)
 	c := collectorFor(t, collector.Options{Network: "tcp"})
 	r.deploy("", c)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	held, err := ln.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.log, r.addr = &bytes.Buffer{}, ln.Addr().String()
-	run := func() *exec.Cmd {
-		cmd := program(r.dir + "/config.json")
-		r.op = freeAddr(t)
-		os.MkdirAll(r.dir+"/tmp", 0o700)
-		cmd.ExtraFiles = []*os.File{held}
-		cmd.Env = append(cmd.Env, "EDGE_INHERITED_FD=3", "TMPDIR="+r.dir+"/tmp", "EDGE_OPERATOR="+r.op, "LIMELADDER_DEPLOY="+r.dir+"/deploy.toml", "EDGE_LISTEN="+r.addr)
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { cmd.Process.Kill() })
-		r.until("ready", func() bool {
-			a, err := http.Get("http://" + r.op + "/v1/readyz")
-			return err == nil && a.StatusCode == 200
-		})
-		return cmd
-	}
+	run := r.inherited()
 	old := run()
 	r.ask("old", "look", 20, 2500)
 	fresh := run()
--- a/internal/audit/verify/verify.go
+++ b/internal/audit/verify/verify.go
@@ -276,57 +276,48 @@
 	if it.err = m.Read(it.raw); it.err != nil {
 		return
 	}
-	var e *syslogread.Element
-	for i := range m.Elements {
-		if bytes.HasPrefix(m.Elements[i].ID, []byte("audit@")) {
-			e = &m.Elements[i]
-			break
-		}
-	}
-	if e == nil {
-		return
-	}
-	it.audit, it.kind = true, w.word(m.ID)
+	it.kind = w.word(m.ID)
 	var mac link
-	for _, p := range e.Params {
-		var ok = true
-		switch string(p.Name) {
-		case "start":
-			it.start = w.word(p.Value)
-		case "link":
-			ok = copy(it.link[:], p.Value) == len(p.Value) && len(p.Value) == linkText
-		case "seq":
-			it.seq, ok = syslogread.Number(p.Value)
-		case "count":
-			it.count, ok = syslogread.Number(p.Value)
-		case "first":
-			it.first, ok = syslogread.Number(p.Value)
-		case "last":
-			it.last, ok = syslogread.Number(p.Value)
-		case "key":
-			it.key = w.word(p.Value)
-		case "mac":
-			ok = copy(mac[:], p.Value) == len(p.Value) && len(p.Value) == linkText
+	for i := range m.Elements {
+		e := &m.Elements[i]
+		own := bytes.HasPrefix(e.ID, []byte("audit@"))
+		if !own && (it.kind != "DROPPED" || !bytes.HasPrefix(e.ID, []byte("event@"))) {
+			continue
 		}
-		if !ok {
-			it.err = fmt.Errorf("audit element: %s does not fit", p.Name)
+		if own && it.audit {
+			it.err = errors.New("two audit elements")
 			return
 		}
-	}
-	if it.kind == "DROPPED" {
-		for i := range m.Elements {
-			if !bytes.HasPrefix(m.Elements[i].ID, []byte("event@")) {
-				continue
+		it.audit = it.audit || own
+		for _, p := range e.Params {
+			ok := true
+			switch string(p.Name) {
+			case "start":
+				it.start = w.word(p.Value)
+			case "link":
+				ok = copy(it.link[:], p.Value) == len(p.Value) && len(p.Value) == linkText
+			case "seq":
+				it.seq, ok = syslogread.Number(p.Value)
+			case "count":
+				it.count, ok = syslogread.Number(p.Value)
+			case "first":
+				it.first, ok = syslogread.Number(p.Value)
+			case "last":
+				it.last, ok = syslogread.Number(p.Value)
+			case "key":
+				it.key = w.word(p.Value)
+			case "mac":
+				ok = copy(mac[:], p.Value) == len(p.Value) && len(p.Value) == linkText
 			}
-			for name, to := range map[string]*uint64{"count": &it.count, "first": &it.first, "last": &it.last} {
-				if p, ok := m.Elements[i].Find(name); ok {
-					if *to, ok = syslogread.Number(p); !ok {
-						it.err = fmt.Errorf("%s does not fit", name)
-					}
-				}
+			if !ok {
+				it.err = fmt.Errorf("%s: %s does not fit", e.ID, p.Name)
+				return
 			}
 		}
 	}
+	if !it.audit {
+		return
+	}
 	if len(w.v.names) == 0 {
 		return
 	}
--- a/internal/changeover/model.go
+++ b/internal/changeover/model.go
@@ -274,13 +274,20 @@
 type Member struct {
 	Node string
 	Bank int64
-	Out  bool // it drains or is gone
+	Out  bool // it drains
+	Gone bool // it is to be forgotten, once another one leads
 }
 
-// Listed notes members of banks. What it does not name stays as it was.
-func (m *Model) Listed(now time.Duration, members []Member) {
+// Listed notes members of banks. What it does not name stays as it was, or is gone where it is the whole list.
+func (m *Model) Listed(now time.Duration, members []Member, whole bool) {
+	named := map[string]bool{}
 	for _, e := range members {
+		named[e.Node] = true
 		n := m.nodes[e.Node]
+		if e.Gone {
+			m.gone(n, now)
+			continue
+		}
 		if n != nil && n.bank.id != e.Bank {
 			m.forget(n)
 			n = nil
@@ -296,21 +303,28 @@
 			m.move(b, HandingOver, Draining, n.id, now)
 		}
 	}
+	if !whole {
+		return
+	}
+	for _, b := range m.order {
+		for _, n := range slices.Clone(b.members) {
+			if !named[n.id] {
+				m.gone(n, now)
+			}
+		}
+	}
 }
 
-// Gone forgets members that are not listed any more.
-func (m *Model) Gone(now time.Duration, nodes []string) {
-	for _, id := range nodes {
-		n := m.nodes[id]
-		if n == nil {
-			continue
-		}
-		if n.out = true; n.bank.primary == n && !n.bank.in() {
+// gone forgets a member that is not listed any more.
+func (m *Model) gone(n *member, now time.Duration) {
+	switch {
+	case n == nil:
+	case n.bank.primary != n:
+		m.forget(n)
+	default:
+		if n.out = true; !n.bank.in() {
 			m.move(n.bank, HandingOver, Draining, n.id, now)
 		}
-		if n.bank.primary != n {
-			m.forget(n)
-		}
 	}
 }
 
--- a/internal/changeover/model_test.go
+++ b/internal/changeover/model_test.go
@@ -22,7 +22,7 @@
 			in = append(in, Member{Node: fmt.Sprintf("n%d-%d", b, i), Bank: int64(b)})
 		}
 	}
-	m.Listed(0, in)
+	m.Listed(0, in, true)
 	for b := range banks {
 		m.Believe(0, int64(b), fmt.Sprintf("n%d-0", b))
 	}
@@ -156,7 +156,7 @@
 				w.m.Suspend(w.now, node(), rapid.Bool().Draw(t, "barred"))
 			case 11:
 				id := node()
-				w.m.Listed(w.now, []Member{{Node: id, Bank: int64(id[1] - '0'), Out: rapid.Bool().Draw(t, "drains")}})
+				w.m.Listed(w.now, []Member{{Node: id, Bank: int64(id[1] - '0'), Out: rapid.Bool().Draw(t, "drains"), Gone: rapid.IntRange(0, 9).Draw(t, "gone") == 0}}, false)
 			case 12:
 				for id, s := range w.state {
 					if s == "held" || s == "out" {
@@ -225,9 +225,9 @@
 		"25006":                  {func(m *Model) { m.Ended(1, "n0-0", "a", Replica, RoleReplica, 0, "job", 0) }, HandingOver, NoPrimary},
 		"a report":               {func(m *Model) { m.Reported(1, "n0-0", true, RoleReplica, 0) }, HandingOver, NoPrimary},
 		"a probe fails unasked":  {func(m *Model) { m.Reported(1, "n0-0", false, 0, 0) }, Steady, NoEvidence},
-		"a drain":                {func(m *Model) { m.Listed(1, []Member{{Node: "n0-0", Out: true}}) }, HandingOver, Draining},
-		"a replica's drain":      {func(m *Model) { m.Listed(1, []Member{{Node: "n0-1", Out: true}}) }, Steady, NoEvidence},
-		"not listed":             {func(m *Model) { m.Gone(1, []string{"n0-0"}) }, HandingOver, Draining},
+		"a drain":                {func(m *Model) { m.Listed(1, []Member{{Node: "n0-0", Out: true}}, false) }, HandingOver, Draining},
+		"a replica's drain":      {func(m *Model) { m.Listed(1, []Member{{Node: "n0-1", Out: true}}, false) }, Steady, NoEvidence},
+		"not listed":             {func(m *Model) { m.Listed(1, []Member{{Node: "n0-1"}, {Node: "n0-2"}}, true) }, HandingOver, Draining},
 		"a suspend":              {func(m *Model) { m.Suspend(1, "n0-0", true) }, HandingOver, Barred},
 		"an announcement":        {func(m *Model) { m.Announce(1, 0, time.Second) }, HandingOver, Announced},
 		"the module's doubt":     {func(m *Model) { m.Doubt(1, 0, "n0-0") }, Lost, Doubted},
@@ -377,7 +377,7 @@
 // A hint is where terms go on from, and no belief.
 func TestHint(t *testing.T) {
 	m := New(config(), 1)
-	m.Listed(0, []Member{{Node: "a", Bank: 1}, {Node: "b", Bank: 1}})
+	m.Listed(0, []Member{{Node: "a", Bank: 1}, {Node: "b", Bank: 1}}, true)
 	m.Hint(1, 41, "b")
 	if _, term, primary, _ := m.Bank(1); term != 41 || primary != "" {
 		t.Fatalf("%d %q", term, primary)
--- a/internal/router/hold.go
+++ b/internal/router/hold.go
@@ -18,14 +18,13 @@
 	model   *changeover.Model
 	classes map[string]changeover.Class
 	timer   *loop.Timer
-	at      time.Duration // when the timer is due
-	nodes   map[string]int64
+	at      time.Duration                                 // when the timer is due
 	change  func(bank int64, term uint64, primary string) // told of each successor, nil = nobody is
 }
 
 // HoldThrough turns holding on. It is called before the first list.
 func (r *Router) HoldThrough(cfg changeover.Config, seed uint64, change func(bank int64, term uint64, primary string)) {
-	r.holder = &holder{model: changeover.New(cfg, seed), classes: cfg.Classes, nodes: map[string]int64{}, change: change}
+	r.holder = &holder{model: changeover.New(cfg, seed), classes: cfg.Classes, change: change}
 }
 
 // Banks is what those on call see of the changes; nil where nothing is held.
@@ -98,9 +97,7 @@
 func (r *Router) sent(q *request) {
 	if q.waits {
 		r.holder.model.Sent(q.sentAt, q.node, q.id)
-		if r.holder.timer == nil {
-			r.wakeHolder(q.sentAt + 50*time.Millisecond)
-		}
+		r.wakeHolder(q.sentAt + 50*time.Millisecond)
 	}
 }
 
@@ -115,7 +112,7 @@
 	case balance.Done:
 		end = changeover.Fine
 	case balance.Miss:
-		if end = changeover.Fine; res.Role == balance.RoleReplica && r.Writes(q.Class) {
+		if end = changeover.Fine; r.Writes(q.Class) {
 			end = changeover.Replica
 		}
 	case balance.Busy:
@@ -176,29 +173,11 @@
 	if h == nil || l.Kind == balance.ListFailed {
 		return
 	}
-	named := map[string]bool{}
 	var in []changeover.Member
-	var gone []string
 	for _, e := range l.Entries {
-		named[e.Node] = true
-		if e.State == balance.Gone {
-			gone = append(gone, e.Node)
-			delete(h.nodes, e.Node)
-			continue
-		}
-		h.nodes[e.Node] = e.Group
-		in = append(in, changeover.Member{Node: e.Node, Bank: e.Group, Out: e.State == balance.Draining})
-	}
-	if l.Kind != balance.ListDelta {
-		for node := range h.nodes {
-			if !named[node] {
-				gone = append(gone, node)
-				delete(h.nodes, node)
-			}
-		}
+		in = append(in, changeover.Member{Node: e.Node, Bank: e.Group, Out: e.State == balance.Draining, Gone: e.State == balance.Gone})
 	}
-	h.model.Listed(r.loop.Now(), in)
-	h.model.Gone(r.loop.Now(), gone)
+	h.model.Listed(r.loop.Now(), in, l.Kind != balance.ListDelta)
 }
 
 // released tells that a request is answered.
--- a/internal/syslogread/message.go
+++ b/internal/syslogread/message.go
@@ -421,17 +421,9 @@
 	return nil
 }
 
-func integer(p []byte, most uint64) (n uint64, ok bool) {
-	if len(p) == 0 || len(p) > 19 || p[0] == '0' && len(p) > 1 {
-		return 0, false
-	}
-	for _, c := range p {
-		if c < '0' || c > '9' {
-			return 0, false
-		}
-		n = n*10 + uint64(c-'0')
-	}
-	return n, n <= most
+func integer(p []byte, most uint64) (uint64, bool) {
+	n, ok := Number(p)
+	return n, ok && n <= most
 }
 
 // Number reads a decimal number that stands in a value.
