Fresh reads and reads of one's own writes across a change of primary

Whether a held fresh read, or a read behind a held write, ever comes from a member that does not lead was not tested. Two scripts with replicas ten seconds behind now ask both, and the checker compares each answer with who led when it was given. A request that is handed to the module again earns no second part of its probes and repeats.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -432,8 +432,7 @@
 		return
 	}
 	g := r.group(e.Group)
-	q := &request{id: e.ID, class: c, group: g, key: e.Key, at: r.now, worth: c.Worth,
-		tried: e.Tried}
+	q := &request{id: e.ID, class: c, group: g, key: e.Key, at: r.now, worth: c.Worth, tried: e.Tried}
 	q.dieAt = r.now + e.Expires
 	// Danger: work for a client that comes back is lost once its aim has passed. Where retries are marked, a
 	// wait below the usual one was cut by the end of all its tries, so the rest of them has gone.
@@ -463,8 +462,10 @@
 		}
 	}
 	g.usedAt = r.now
-	r.probes = min(probeMost, r.probes+probeSpend/max(r.cfg.ProbePrice, probeSpend/4))
-	r.repeats = min(retryMost, r.repeats+retryEarn)
+	if e.Tried == 0 { // one that is handed in again has earned its part
+		r.probes = min(probeMost, r.probes+probeSpend/max(r.cfg.ProbePrice, probeSpend/4))
+		r.repeats = min(retryMost, r.repeats+retryEarn)
+	}
 	r.reqs[q.id] = q
 	g.held = append(g.held, q)
 }
--- a/cmd/limeladder/changeover_test.go
+++ b/cmd/limeladder/changeover_test.go
@@ -39,6 +39,7 @@
 	done     sync.WaitGroup
 	deadline time.Duration
 	pad      string // stands in each statement
+	reads    bool   // each client reads behind its write, and others read what is newest
 }
 
 // lead is a moment from which a db machine takes writes.
@@ -64,14 +65,18 @@
 	}))
 	t.Cleanup(func() { server.CloseClientConnections() })
 	// All scenes share this process, and a descriptor over the limit is turned away: it is wide here.
+	lanes := strings.NewReplacer(`"Effect":"unsafe"}]`, `"Effect":"unsafe"},
+ {"Name":"fresh","AimNs":1000000000,"GiveUpNs":3000000000,"Importance":1,"Effect":"safe"},
+ {"Name":"own","AimNs":1000000000,"GiveUpNs":3000000000,"Importance":1,"Effect":"safe"}]`, `["loose","update"]`, `["loose","update","latest","own_writes"]`)
 	settled := strings.Replace(configText(server.Listener.Addr().String()), `"sockets":1024`, `"sockets":8192`, 1)
+	settled = lanes.Replace(settled)
 	cfg, err := config.Parse([]byte(settled), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
 	text := "[extended]\nlisten = \"127.0.0.1:0\"\n"
 	if hold {
-		text += "[changeover]\nclasses = [\"job\"]\n"
+		text += "[changeover]\nclasses = [\"job\", \"fresh\"]\n"
 	}
 	if s.d, err = newDaemon(cfg, withSyslog(t, text), slog.New(slog.NewTextHandler(sceneLog(), nil))); err != nil {
 		t.Fatal(err)
@@ -132,6 +137,10 @@
 	s.done.Add(1)
 	go func() {
 		defer s.done.Done()
+		if s.reads {
+			s.asks(id, bank)
+			return
+		}
 		text := fmt.Sprintf("/* id=%s,c=job,d=%d,cluster=%d */ SELECT '%s'", id, s.deadline.Milliseconds(), 7+bank, s.pad)
 		addr, p := s.addr, pgwire.AppendQuery(nil, text)
 		if extended {
@@ -161,6 +170,24 @@
 	}()
 }
 
+// asks is a client that writes and then reads what it has written, and one that reads what is newest. Replicas are too far
+// behind for both.
+func (s *scene) asks(id string, bank int) {
+	c := standin.Dial(s.t, s.addr)
+	defer c.Close()
+	for _, class := range []string{"fresh", "job", "own"} {
+		j := check.Job{ID: id + "-" + class, Sent: time.Now(), Deadline: s.deadline, Fresh: class != "job"}
+		c.Send(pgwire.AppendQuery(nil, fmt.Sprintf("/* id=%s,c=%s,d=%d,cluster=%d */ SELECT '%s'", j.ID, class, s.deadline.Milliseconds(), 7+bank, id)))
+		a := c.Until('Z')
+		if j.Answered, j.Code, j.After, j.Value = time.Now(), a.Code, a.Detail, a.Value; !a.Ended {
+			j.Answers = 1
+		}
+		s.mu.Lock()
+		s.jobs = append(s.jobs, j)
+		s.mu.Unlock()
+	}
+}
+
 // load asks so many jobs a second in each bank for a while.
 func (s *scene) load(rate int, length time.Duration, leavers bool) {
 	tick := time.NewTicker(time.Second / time.Duration(rate))
@@ -220,6 +247,7 @@
 	banks   int
 	leavers bool
 	size    int  // bytes that each statement carries
+	reads   bool // there are reads that only the primary may answer
 	lossy   bool // refusals are in the nature of it
 	act     func(s *scene, rng *rand.Rand)
 }
@@ -288,6 +316,8 @@
 			pause(30 * time.Millisecond)
 			change(s, 0, 1, 2, "dies", 300*time.Millisecond)
 		}},
+		script{name: "reads of what is newest and of one's own", reads: true, act: func(s *scene, rng *rand.Rand) { change(s, 0, 0, 1, "dies", 500*time.Millisecond) }},
+		script{name: "the same through a drain", reads: true, act: func(s *scene, rng *rand.Rand) { change(s, 0, 0, 2, "drains", 300*time.Millisecond) }},
 		script{name: "long statements", size: 100_000, act: func(s *scene, rng *rand.Rand) { change(s, 0, 0, 1, "dies", 500*time.Millisecond) }},
 		script{name: "another one hangs right behind", act: func(s *scene, rng *rand.Rand) {
 			change(s, 0, 0, 1, "dies", 100*time.Millisecond)
@@ -339,6 +369,11 @@
 			t.Run(sc.name, func(t *testing.T) {
 				t.Parallel()
 				s := newScene(t, max(1, sc.banks), true, 1500*time.Millisecond)
+				if s.reads = sc.reads; s.reads {
+					for _, db := range s.banks[0] {
+						db.Behind(10 * time.Second)
+					}
+				}
 				s.pad = strings.Repeat("x", sc.size)
 				go func() {
 					pause(300 * time.Millisecond)
--- a/internal/standin/check/check.go
+++ b/internal/standin/check/check.go
@@ -17,6 +17,8 @@
 	Code     string // of the answer, "" = served
 	After    string // field D of a refusal, milliseconds
 	Left     bool   // the client has gone before any answer
+	Fresh    bool   // it is no write, but a read that only a primary may answer
+	Value    string // of the answer: which db machine gave it
 }
 
 // Run is a statement that a db machine has run.
@@ -25,6 +27,7 @@
 	Member string
 	At     time.Time
 	Write  bool
+	Led    bool // it was the primary then
 }
 
 // Drain is a moment from which a db machine was told to be out.
@@ -50,8 +53,9 @@
 // run though it was served, or reached a machine that was out.
 func Jobs(jobs []Job, runs []Run, drains []Drain) (faults []string) {
 	bad := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
-	ran := map[string][]Run{}
+	ran, led := map[string][]Run{}, map[string]bool{}
 	for _, r := range runs {
+		led[r.ID+" "+r.Member] = led[r.ID+" "+r.Member] || r.Led
 		if !r.Write {
 			continue
 		}
@@ -69,6 +73,13 @@
 		}
 		seen[j.ID] = true
 		n := len(ran[j.ID])
+		if j.Fresh {
+			if n = 1; j.Code != "" {
+				n = 0
+			} else if !j.Left && !led[j.ID+" "+j.Value] {
+				bad("%s was answered by %s, which did not lead", j.ID, j.Value)
+			}
+		}
 		if n > 1 {
 			bad("%s ran %d times: %+v", j.ID, n, ran[j.ID])
 		}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -218,7 +218,7 @@
 					default:
 						d.mu.Lock()
 						d.runs[h.ID]++
-						d.log = append(d.log, check.Run{ID: h.ID, Member: d.Addr, At: time.Now(), Write: write})
+						d.log = append(d.log, check.Run{ID: h.ID, Member: d.Addr, At: time.Now(), Write: write, Led: primary})
 						d.mu.Unlock()
 					}
 				}
