--- a/cmd/limeladder/changeover_bench_test.go
+++ b/cmd/limeladder/changeover_bench_test.go
@@ -75,3 +75,36 @@
 		b.ReportMetric(float64(ds[len(ds)-1].Milliseconds()), "first-ms-worst-"+word)
 	}
 }
+
+// BenchmarkThousandsOnSockets lets eight thousand clients, each on a connection of its own, ask for a job while their bank has
+// no primary for a second, and tells what they
+// were told.
+func BenchmarkThousandsOnSockets(b *testing.B) {
+	const n = 8_000 // both ends are in this process, and 20,000 descriptors are usual
+	for b.Loop() {
+		s := newScene(b, 1, true, 3*time.Second)
+		old, next := s.banks[0][0], s.banks[0][1]
+		old.Lead(false)
+		old.Stop()
+		go func() {
+			pause(time.Second)
+			s.lead(next)
+		}()
+		begin := time.Now()
+		for i := range n {
+			s.ask(fmt.Sprint("job-", i), 0, false, 0)
+			if i%100 == 99 {
+				time.Sleep(5 * time.Millisecond) // half a second for all of them
+			}
+		}
+		asked := time.Since(begin)
+		for _, f := range s.finish() {
+			b.Error(f)
+		}
+		served, refused, failed, _ := check.Count(s.jobs)
+		b.ReportMetric(asked.Seconds(), "s-asked")
+		b.ReportMetric(float64(served), "served")
+		b.ReportMetric(float64(refused), "refused")
+		b.ReportMetric(float64(failed), "failed")
+	}
+}
--- a/cmd/limeladder/changeover_test.go
+++ b/cmd/limeladder/changeover_test.go
@@ -68,7 +68,7 @@
 	lanes := strings.NewReplacer(`"Effect":"unsafe"}]`, `"Effect":"unsafe"},
  {"Name":"fresh","AimNs":1000000000,"GiveUpNs":3000000000,"Importance":1,"Effect":"safe"},
  {"Name":"own","AimNs":1000000000,"GiveUpNs":3000000000,"Importance":1,"Effect":"safe"}]`, `["loose","update"]`, `["loose","update","latest","own_writes"]`)
-	settled := strings.Replace(configText(server.Listener.Addr().String()), `"sockets":1024`, `"sockets":8192`, 1)
+	settled := strings.Replace(configText(server.Listener.Addr().String()), `"sockets":1024`, `"sockets":65536`, 1)
 	settled = lanes.Replace(settled)
 	cfg, err := config.Parse([]byte(settled), func(string) string { return "" })
 	if err != nil {
