The record of an answer that broke off is tested

Of the five outcomes of a final answer only cut had no test of its record. The test of long answers now expects one record for each, served or cut, with how its attempt ended.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -139,6 +139,16 @@
 		if done := end == balance.Done; o.begun != 1 || o.parts != 14 || o.total()+o.cut != 1 || done != (o.served == 1) || len(p.calls) != 1 || r.InHand() != 0 {
 			t.Errorf("%v: %+v, %d attempts, %d in hand", end, o, len(p.calls), r.InHand())
 		}
+		var recorded []*audit.Answer
+		for _, e := range p.events {
+			if a, ok := e.(*audit.Answer); ok {
+				recorded = append(recorded, a)
+			}
+		}
+		if want := map[bool]audit.Outcome{true: audit.Served, false: audit.Cut}[end == balance.Done]; len(recorded) != 1 || recorded[0].Outcome != want ||
+			len(recorded[0].Attempts) != 1 || recorded[0].Attempts[0].End != end {
+			t.Errorf("%v: recorded as %+v", end, recorded)
+		}
 	}
 }
 
