Sends end with the news that a machine leaves; a silent list is asked for within the grace

A call that nothing was heard of is now told apart (ListSilent) from one that discovery turned away: it fails 1 s after its wait and is made again within 1.5 s (three quarters of DrainGraceNs, jitter from the seed), each time. A watch that is reset counts as such, a call that is turned away backs off as before. - an attempt or probe that waited for its connection was written although the list had said meanwhile that the machine drains or is gone (servers.List closed idle connections only), and to the old address of one that had moved. What waits ends as never sent; a connection dialled before is not kept.

--- a/balance/api.go
+++ b/balance/api.go
@@ -77,6 +77,7 @@
 	OverShareWorth float64       // worth of a request beyond the share, as a part of the usual
 	Resolution     time.Duration // the shortest time between two steps
 	Ask            bool          // the list must be asked for
+	DrainGrace     time.Duration // sends to a member must have ended this long after it was told to leave; 0 = not told
 	AskWithin      time.Duration // one that has not asked for this long counts as told all the same; 0 = not told
 
 	Checks       Checks
@@ -117,6 +118,7 @@
 	ListFull                   // everything
 	ListCached                 // everything, as it was when the instance last ran
 	ListFailed                 // a call failed or the subscription broke
+	ListSilent                 // the same, and nothing was heard of the list's service: it can't be reached
 )
 
 // Entry is one member in a list.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -132,11 +132,8 @@
 // ---- List
 
 func (r *Router) onList(l List) {
-	if l.Kind == ListFailed {
-		// Danger: all instances ask again at once and sink the list's service. Double the wait, with jitter.
-		r.tracked = false
-		r.trackAt = r.now + r.trackGap/2 + time.Duration(r.rng.Int64N(int64(r.trackGap)))
-		r.trackGap = min(2*r.trackGap, max(trialLast, 2*r.turns()))
+	if l.Kind == ListFailed || l.Kind == ListSilent {
+		r.tracked, r.trackAt = false, r.now+r.unheard(l.Kind)
 		return
 	}
 	if r.trackGap = max(trialFirst, r.turns()); l.Kind == ListCached {
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -280,3 +280,48 @@
 		}
 	}
 }
+
+// The links between routers and discovery are cut while watches are out. What it had to tell counts as told 2 s after a
+// watch's wait is over, and sends must end within the grace from then on. Each of 300 instances asks again before that is
+// used up, whenever the link is back, and never all at once.
+func TestASilentListIsAskedForAgainWithinTheGrace(t *testing.T) {
+	const fleet, slack, connect = 300, time.Second, 250 * ms
+	for _, seed := range []uint64{1, 2, 3} {
+		c := base()
+		c.Instances, c.Ask, c.AskWithin, c.DrainGrace = fleet, true, 10*time.Second, 2*time.Second
+		in := map[time.Duration]int{} // calls by tenth of a second
+		for i := range fleet {
+			r, err := New(c, seed*1000+uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := 100 * time.Second
+			r.Step(now, []Event{three(ListCached)})
+			for len(pick[Track](r.Step(now, nil))) == 0 {
+				now += 10 * ms
+			}
+			// Its watch ends in silence now, and so does each connection it opens.
+			now += 5*time.Second + slack
+			for silent := range 20 {
+				from := now
+				asked := len(pick[Track](r.Step(now, []Event{List{Kind: ListSilent}}))) > 0
+				for ; !asked; now += 10 * ms {
+					asked = len(pick[Track](r.Step(now, nil))) > 0
+				}
+				if silent == 0 {
+					in[(now-from)/(100*ms)]++
+				}
+				// 1 s of slack and this must leave time for an answer within 2 s and the grace.
+				if now-from > c.DrainGrace {
+					t.Fatalf("seed %d, instance %d: asks %v after silence %d", seed, i, now-from, silent)
+				}
+				now += connect
+			}
+		}
+		for at, n := range in {
+			if n > fleet/5 {
+				t.Errorf("seed %d: %d calls in the tenth of a second %v after the silence", seed, n, at*100*ms)
+			}
+		}
+	}
+}
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -13,8 +13,8 @@
 	if !(c.ColdFrom >= 0 && c.ColdFrom <= 1) {
 		return fmt.Errorf("ColdFrom: %v is no share", c.ColdFrom)
 	}
-	if c.AskWithin < 0 || c.ColdFor < 0 || c.FallFor < 0 || c.Resolution < 0 || c.MaxRetryAfter < 0 {
-		return fmt.Errorf("AskWithin, ColdFor, FallFor, Resolution, MaxRetryAfter: a time is negative")
+	if c.DrainGrace < 0 || c.AskWithin < 0 || c.ColdFor < 0 || c.FallFor < 0 || c.Resolution < 0 || c.MaxRetryAfter < 0 {
+		return fmt.Errorf("DrainGrace, AskWithin, ColdFor, FallFor, Resolution, MaxRetryAfter: a time is negative")
 	}
 	if c.FallMultiple < 0 || c.FallMultiple > 0 && c.FallFor == 0 {
 		return fmt.Errorf("FallMultiple: %v without its window FallFor", c.FallMultiple)
--- a/balance/state.go
+++ b/balance/state.go
@@ -165,6 +165,20 @@
 	return spread
 }
 
+// unheard is how long to wait with the next call for the list after one that brought none.
+//
+// Danger: all instances ask again at once and sink the list's service, so one that was turned away doubles the wait, with jitter.
+// Danger: what a silent service had to tell counts as told all the same, soon after, and the time in which sends must end
+// runs. Who has heard nothing asks again within the better part of that time, each time: calls that are not heard cost nothing.
+func (r *Router) unheard(k ListKind) time.Duration {
+	if gap := min(r.trackGap, r.cfg.DrainGrace*3/4); k == ListSilent && gap > 0 {
+		return gap/8 + time.Duration(r.rng.Int64N(int64(gap)))*7/8
+	}
+	wait := r.trackGap/2 + time.Duration(r.rng.Int64N(int64(r.trackGap)))
+	r.trackGap = min(2*r.trackGap, max(trialLast, 2*r.turns()))
+	return wait
+}
+
 // begin notes that an answer is passed on as it comes. How long its peers take over the rest is no sign of the member's load
 // or health, and what it still gives must not be taken back: it is not among those that are out any more.
 // It says whether that is news.
--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -300,8 +300,12 @@
 }
 
 // ListFailed implements list.Sink.
-func (d *daemon) ListFailed() {
-	d.core.List(balance.List{Kind: balance.ListFailed})
+func (d *daemon) ListFailed(silent bool) {
+	kind := balance.ListFailed
+	if silent {
+		kind = balance.ListSilent
+	}
+	d.core.List(balance.List{Kind: kind})
 	if d.told || d.store == nil {
 		return
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -42,6 +42,7 @@
 	Prices   struct{ Probe float64 }
 	Contract struct {
 		AskWithinNs            int64
+		DrainGraceNs           int64
 		ColdNs, FallNs         int64
 		ColdFrom, FallMultiple float64
 		SoftRemoval            bool
@@ -62,6 +63,7 @@
 		Instances: p.Instances, Zone: p.Locality, OverShareWorth: p.OverShareWorth,
 		Resolution: time.Duration(p.ResolutionNs), Ask: p.Discovery == "ask",
 		AskWithin:    time.Duration(p.Contract.AskWithinNs),
+		DrainGrace:   time.Duration(p.Contract.DrainGraceNs),
 		ClientTokens: p.Extra.TokenMode == "client",
 		Probes:       p.Limits.Probes, ProbePrice: p.Prices.Probe, Cancel: p.Limits.Cancelling,
 		RetryAfter: p.Limits.RetryAfter, MaxRetryAfter: time.Duration(p.Limits.MaxRetryAfterNs),
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -17,7 +17,8 @@
 // Sink is told what discovery says.
 type Sink interface {
 	Told(l config.List)
-	ListFailed()
+	// ListFailed says that a call has ended without a list; silent, that nothing was heard of discovery at all.
+	ListFailed(silent bool)
 }
 
 // Watcher keeps one call out at a time. All of it runs in the loop's goroutine.
@@ -34,11 +35,12 @@
 	older   int    // answers in a row that were older than the newest list
 	fault   string // that was logged last, "" = the last answer was good
 	conn    *sock.Conn
-	reply   *response   // of the call that is out, nil = none
-	limit   *loop.Timer // its deadline
-	text    []byte      // the call
-	reused  bool        // it went out on a connection that had carried another
-	dials   int         // the newest dial; an older one that comes up late is closed
+	reply   *response     // of the call that is out, nil = none
+	limit   *loop.Timer   // its deadline
+	at      time.Duration // when it was made
+	text    []byte        // the call
+	reused  bool          // it went out on a connection that had carried another
+	dials   int           // the newest dial; an older one that comes up late is closed
 	stopped bool
 }
 
@@ -96,7 +98,12 @@
 	}
 	// Guards against a cut link: a silent call must not be taken for a quiet list.
 	w.limit.Stop()
-	w.limit = w.loop.After(wait+w.lim.CallSlack, func() { w.failed(errors.New("no answer in time")) })
+	slack := w.lim.CallSlack
+	if wait > 0 {
+		slack = w.lim.WatchSlack
+	}
+	w.at = w.loop.Now()
+	w.limit = w.loop.After(wait+slack, func() { w.silent(errors.New("no answer in time")) })
 	w.text = fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, w.addr)
 	if w.conn != nil {
 		w.reused = true
@@ -123,7 +130,7 @@
 			err = c.Write(text)
 		}
 		if err != nil {
-			w.failed(err)
+			w.silent(err)
 		} else {
 			w.conn = c
 		}
@@ -168,6 +175,9 @@
 		w.answered()
 	case w.reused && len(w.reply.buf) == 0 && !w.reply.inBody:
 		w.dial(w.text) // discovery had closed an idle connection: that is no failure
+	case !w.whole && w.loop.Now()-w.at > w.lim.CallSlack:
+		// A call that discovery turns away waits no longer than this: it was a watch, and the link or discovery is lost.
+		w.silent(fmt.Errorf("watch ended: %v", err))
 	default:
 		w.failed(fmt.Errorf("connection ended: %v", err))
 	}
@@ -227,7 +237,13 @@
 // olderMost is how many answers in a row may be older than the list that is known before one is believed.
 const olderMost = 2
 
-func (w *Watcher) failed(err error) {
+// failed ends a call that discovery has turned away, or answered with what can't be used.
+func (w *Watcher) failed(err error) { w.ended(err, false) }
+
+// silent ends a call of which nothing was heard: discovery is not overloaded for all that is known, it can't be reached.
+func (w *Watcher) silent(err error) { w.ended(err, true) }
+
+func (w *Watcher) ended(err error, silent bool) {
 	// Once for each fault: a discovery that is away is asked many times.
 	if text := err.Error(); text != w.fault {
 		w.fault = text
@@ -235,6 +251,6 @@
 	}
 	w.drop()
 	if !w.stopped {
-		w.sink.ListFailed()
+		w.sink.ListFailed(silent)
 	}
 }
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,8 +73,8 @@
 	fails chan bool
 }
 
-func (s told) Told(l config.List) { s.lists <- l }
-func (s told) ListFailed()        { s.fails <- true }
+func (s told) Told(l config.List)     { s.lists <- l }
+func (s told) ListFailed(silent bool) { s.fails <- silent }
 
 func watch(t *testing.T, lim limits.Limits, h http.HandlerFunc) (told, *Watcher, *loop.Loop) {
 	srv := httptest.NewServer(h)
@@ -92,7 +93,7 @@
 
 func lim() limits.Limits {
 	l := limits.For(192, 1024, 250*time.Millisecond, time.Second, time.Second)
-	l.WatchWait, l.CallSlack = 30*time.Millisecond, 200*time.Millisecond
+	l.WatchWait, l.WatchSlack, l.CallSlack = 30*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond
 	return l
 }
 
@@ -119,6 +120,7 @@
 }
 
 func TestFailuresAreTold(t *testing.T) {
+	var calls atomic.Int32
 	for name, h := range map[string]http.HandlerFunc{
 		"silent":  func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
 		"busy":    func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) },
@@ -129,12 +131,32 @@
 			c.(*net.TCPConn).SetLinger(0)
 			c.Close()
 		},
+		"silent, a watch that is reset late": func(w http.ResponseWriter, r *http.Request) {
+			if calls.Add(1) == 1 {
+				fmt.Fprint(w, `{"version":7,"full":true,"servers":[{"id":"s","state":"ready"}]}`)
+				return
+			}
+			time.Sleep(60 * time.Millisecond)
+			c, _, _ := w.(http.Hijacker).Hijack()
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, w, l := watch(t, lim(), h)
+			lim := lim()
+			if strings.HasSuffix(name, "late") {
+				lim.WatchWait, lim.CallSlack = 20*time.Second, 20*time.Millisecond
+			}
+			s, w, l := watch(t, lim, h)
+			if strings.HasSuffix(name, "late") {
+				<-s.lists
+			}
 			for range 2 { // after a failure nothing is asked before Track
 				select {
-				case <-s.fails:
+				case silent := <-s.fails:
+					if silent != strings.HasPrefix(name, "silent") {
+						t.Fatalf("silent: %v", silent)
+					}
 					l.Post(w.Track)
 				case got := <-s.lists:
 					t.Fatalf("%+v", got)
--- a/internal/router/hold.go
+++ b/internal/router/hold.go
@@ -172,7 +172,7 @@
 
 func (r *Router) listed(l balance.List) {
 	h := r.holder
-	if h == nil || l.Kind == balance.ListFailed {
+	if h == nil || l.Kind == balance.ListFailed || l.Kind == balance.ListSilent {
 		return
 	}
 	var in []changeover.Member
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -17,6 +17,7 @@
 // conn is a connection to a db machine. It carries one call at a time.
 type conn struct {
 	machine *machine
+	left    int // machine.left when it was dialled
 	sock    *sock.Conn
 	reader  *pgwire.Reader
 	welcome *loop.Timer // until it is welcomed
@@ -42,7 +43,7 @@
 // dial opens a connection for whoever waits first.
 func (m *machine) dial() {
 	p := m.pool
-	k := &conn{machine: m, reader: pgwire.NewReader(p.lim.Row, 0)}
+	k := &conn{machine: m, left: m.left, reader: pgwire.NewReader(p.lim.Row, 0)}
 	m.open++
 	m.opening++
 	p.open++
@@ -385,6 +386,11 @@
 // free hands the connection to whoever waits, or keeps it.
 func (k *conn) free() {
 	m, p := k.machine, k.machine.pool
+	if k.left != m.left { // it leads to where the machine was, or has been told to leave since
+		k.end()
+		m.more()
+		return
+	}
 	for len(m.waiting) > 0 {
 		c := m.waiting[0]
 		m.waiting = m.waiting[1:]
@@ -423,7 +429,7 @@
 		if c.connect == nil {
 			return false // still with start, which goes on to the next
 		}
-		if k.machine.barred {
+		if k.machine.barred || k.left != k.machine.left {
 			p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
 			return false
 		}
--- /dev/null
+++ b/internal/servers/leave_test.go
@@ -0,0 +1,85 @@
+package servers
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/config"
+	"limeladder/internal/router"
+	"limeladder/internal/standin"
+)
+
+// What the list says of a machine binds what waits for a connection to it: nothing is written there any more, whichever way
+// the news comes, and the attempt ends as never sent.
+func TestNothingIsSentToAMachineThatLeavesMeanwhile(t *testing.T) {
+	ready := config.Entry{ID: "other", Addr: "127.0.0.1:1", State: "ready"}
+	for name, news := range map[string]func(addr, elsewhere string) config.List{
+		"drains": func(addr, _ string) config.List {
+			return config.List{Servers: []config.Entry{{ID: "n", Addr: addr, State: "draining"}}}
+		},
+		"is gone": func(addr, _ string) config.List {
+			return config.List{Servers: []config.Entry{{ID: "n", Addr: addr, State: "gone"}}}
+		},
+		"is not in the whole list": func(string, string) config.List {
+			return config.List{Full: true, Servers: []config.Entry{ready}}
+		},
+		"moves": func(_, elsewhere string) config.List {
+			return config.List{Servers: []config.Entry{{ID: "n", Addr: elsewhere, State: "ready"}}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dialled, welcome := make(chan bool, 9), make(chan bool)
+			release := sync.OnceFunc(func() { close(welcome) })
+			defer release() // its stand-in waits for it
+			db := standin.NewDB(t, true, func(typ byte, _ string) standin.Act {
+				if typ == 0 {
+					dialled <- true
+					<-welcome
+				}
+				return standin.Act{}
+			})
+			there := standin.NewDB(t, true, func(byte, string) standin.Act { return standin.Act{} })
+			l := lim()
+			l.Connect, l.Redial = 3*time.Second, 20*time.Second
+			r := start(t, l, db.Addr)
+			done := make(chan router.Result, 9)
+			r.loop.Post(func() {
+				r.pool.Start(router.Attempt{Node: "n", Job: job("a"), Until: r.loop.Now() + 20*time.Second}, func(x router.Result) { done <- x })
+				r.pool.Probe("n", func(x router.Result) { done <- x })
+			})
+			<-dialled
+			r.loop.Post(func() { r.pool.List(news(db.Addr, there.Addr)) })
+			for range 2 {
+				if x := r.end(done); x.Status != balance.Skipped {
+					t.Fatalf("%+v", x)
+				}
+			}
+			release()
+			for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+				open := make(chan int)
+				r.loop.Post(func() {
+					n := 0
+					if m := r.pool.machines["n"]; m != nil {
+						n = m.open
+					}
+					open <- n
+				})
+				if <-open == 0 {
+					break
+				} else if time.Now().After(deadline) {
+					t.Fatal("its connection is kept")
+				}
+			}
+			if db.Runs("a") != 0 {
+				t.Fatal("it was sent")
+			}
+			if name == "moves" {
+				if x := r.try("b", 0); x.Status != balance.Done || there.Runs("b") != 1 {
+					t.Fatalf("%+v, %d runs where it is now", x, there.Runs("b"))
+				}
+			}
+		})
+	}
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -50,6 +50,7 @@
 	pool     *Pool
 	state    string
 	barred   bool // operators have taken it out
+	left     int  // so often it was told to leave, was taken out or has moved: older connections are not kept
 	open     int
 	opening  int
 	resting  int     // connections that have just carried an answer
@@ -77,16 +78,16 @@
 		}
 		if e.Addr != "" && m.addr != e.Addr {
 			m.addr = e.Addr
-			m.hangUp()
+			m.leave()
 		}
 		if m.state = e.State; m.state != "ready" {
-			m.hangUp()
+			m.leave()
 		}
 	}
 	for id, m := range p.machines {
 		if l.Full && !seen[id] {
 			m.state = "gone"
-			m.hangUp()
+			m.leave()
 		}
 		if m.state == "gone" && m.open == 0 && len(m.waiting) == 0 {
 			delete(p.machines, id)
@@ -107,11 +108,7 @@
 	if m.barred = out; !out {
 		return
 	}
-	m.hangUp()
-	for _, c := range m.waiting {
-		p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
-	}
-	m.waiting = nil
+	m.leave()
 }
 
 // Limit sets new limits. What is beyond them is closed as it becomes idle.
@@ -306,6 +303,18 @@
 	}
 }
 
+// leave ends what is only on its way there: idle connections, and the waits for one, as never sent. Guards the drain against
+// sends that were decided before it was told and whose connection comes up after. What the module decides from now on, with
+// the news in hand, is let through.
+func (m *machine) leave() {
+	m.left++
+	m.hangUp()
+	for _, c := range m.waiting {
+		m.pool.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
+	}
+	m.waiting = nil
+}
+
 // hangUp closes what carries nothing.
 func (m *machine) hangUp() {
 	for len(m.idle) > 0 {
