Long reads of a large fleet get as many replicas as they are of the work, and their credit

Seen with debug logs: 3,867 refused, 2,912 of them never sent, 828 attempts timed out, 463 taken back. Every router, whatever its traffic, served about 22 (one of 105 asked, n100: 22 sent, 83 refused). A probe at the moment of giving up showed idle members (out=0, lim=0.081, cost=0.671, cred=0.903, most=2.69) turned down by the reserve alone: half of what long work saves up was kept for better work, 20 times what that can use (Router.afford). Then, all instances steer long reads to one replica of a group, and where a share is under one attempt no limit makes them spill over: they queue there till they time out. Ruled out: role, list and suspicion (members in, not sick); limits cut to the least (0.045 to 0.081).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -443,7 +443,7 @@
 		}
 	}
 	g.usedAt = r.now
-	if e.Tried == 0 { // one that is handed in again has earned its part
+	if c.seen++; e.Tried == 0 { // one that is handed in again has earned its part
 		r.probes = min(probeMost, r.probes+probeSpend/max(r.cfg.ProbePrice, probeSpend/4))
 		r.repeats = min(retryMost, r.repeats+retryEarn)
 	}
@@ -509,7 +509,9 @@
 		// Worth by the chance of an answer within the aim, per work: what is sent too late only loads.
 		in := 1 - math.Exp(-max(0, (q.aimAt-r.now).Seconds())/q.class.lat)
 		q.rank = q.worth / q.class.lat * (in + q.class.LateShare*(1-in))
-		r.best = max(r.best, q.rank)
+		if q.rank > r.best {
+			r.best, r.bestLat = q.rank, q.class.lat
+		}
 	}
 	slices.SortStableFunc(g.held, func(a, b *request) int {
 		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.aimAt, b.aimAt))
@@ -739,10 +741,10 @@
 	if len(own) == 0 {
 		own = far
 	}
-	if q.class.Need == NeedAny && len(own) > 0 && q.class.lat > longShare*r.bound.Seconds() {
+	if len(own) > 0 && r.long(q.class) {
 		// Danger: long reads hold up the log where they run. Spread over all replicas, by each instance as it
 		// sees them, they leave none that is recent enough for bounded reads. All instances choose the same.
-		own = []*node{slices.MaxFunc(append(own, far...), byID)}
+		own = r.last(g, append(own, far...))
 	}
 	if len(own) > 0 && misses < 2 {
 		return own[r.rng.IntN(len(own))]
@@ -844,8 +846,9 @@
 	}
 	n.credit = min(most, n.credit+rate*(r.now-n.creditAt).Seconds())
 	n.creditAt, n.most = r.now, most
-	// Few are held at a time: work worth less than half of the best leaves credit to what may come.
-	reserve := (most - cost) * reserved * max(0, 1-2*q.rank/r.best)
+	// Few are held at a time: work worth less than half of the best leaves credit to what may come. Danger: a
+	// part of what long work saves up is many times what better, shorter work can use, and it starved.
+	reserve := min(most-cost, creditMost*r.bestLat) * reserved * max(0, 1-2*q.rank/r.best)
 	return n.credit >= cost+reserve, cost, most
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -69,6 +69,7 @@
 	Class
 	lat  float64       // moving mean of the time an attempt takes, seconds
 	work float64       // the least of it, forgotten slowly: what a request costs a member
+	seen float64       // requests, forgotten slowly
 	wait time.Duration // the longest that a client has been ready to wait
 }
 
@@ -247,7 +248,8 @@
 	trackGap time.Duration
 	wakeAt   Time            // the next timer
 	due      Time            // when something is due next
-	best     float64         // the highest rank seen, forgotten slowly
+	best     float64         // the highest rank seen, forgotten slowly,
+	bestLat  float64         // and what such a request took in the mean
 	awake    Time            // it did not run for a while before this
 	barred   map[string]bool // the members that operators have taken out, listed or not
 }
@@ -297,6 +299,47 @@
 	return most
 }
 
+// long says that reads of a class hold up the log for longer than other reads can bear.
+func (r *Router) long(c *class) bool { return c.Need == NeedAny && c.lat > longShare*r.bound.Seconds() }
+
+// last picks the replicas for a long read, of those that can take it: the last by id, all instances the same.
+//
+// Danger: where the share of an instance is under one attempt no limit makes long reads spill over. They wait in one replica's
+// queue, of all instances together, until they time out, while others idle. There they get as large a part of the group as
+// long reads are of the work: that is the same at each instance, whatever traffic it has.
+func (r *Router) last(g *group, among []*node) []*node {
+	var replicas []*node
+	for _, n := range g.members {
+		if n.in() && n != g.primary {
+			replicas = append(replicas, n)
+		}
+	}
+	most := 1
+	if r.startLimit() < 1 {
+		most = max(1, int(math.Round(r.longPart()*float64(len(replicas)))))
+	}
+	if most < len(replicas) {
+		replicas = replicas[len(replicas)-most:]
+	}
+	own := slices.DeleteFunc(slices.Clone(among), func(n *node) bool { return !slices.Contains(replicas, n) })
+	if len(own) == 0 {
+		own = append(own, slices.MaxFunc(among, byID))
+	}
+	return own
+}
+
+// longPart is the part of the work asked of this instance that long reads are.
+func (r *Router) longPart() float64 {
+	long, all := 0.0, 0.0
+	for _, c := range r.cfg.Classes { // in their order: sums in another differ
+		k := r.classes[c.Name]
+		if all += k.seen * k.work; r.long(k) {
+			long += k.seen * k.work
+		}
+	}
+	return long / max(all, math.SmallestNonzeroFloat64)
+}
+
 // lost says that a group's primary is not known, or not to be reached.
 func (g *group) lost() bool { return g.state != usable || g.primary.suspect }
 
@@ -339,6 +382,9 @@
 // forget drops what would add up for ever: members that are gone, groups without members, and commits that all members
 // of their group are known to have. One that has only left the list may come back where removal is soft.
 func (r *Router) forget() {
+	for _, c := range r.classes {
+		c.seen *= 1 - drift
+	}
 	keep := goneFor
 	if r.cfg.SoftRemoval {
 		keep = goneSoft
