Weak reads ease off a crowded primary; what took long in a flood is forgotten

Each router has one read out at a time there, 300 at once are more than it can do (Router.pick, room). In a model of 300 instances the flood left more behind: class.lat stayed at 0.57 s of a 0.45 s deadline, since hardly anything was sent that could lower it, and 40 reads a second were served where 400 fit; a quarter of what long reads save up was kept free at a primary besides. Tests fail without each: 1,000 reads wanted behind a flood, 255 without forgetting; a read 110 ms behind a late one.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -763,10 +763,10 @@
 	if wait {
 		return nil
 	}
-	room := g.state == usable && float64(len(g.primary.out)) < max(1, spare*g.primary.limit)
-	if room {
+	room := g.state == usable && r.now >= g.primary.easeAt
+	if room = room && float64(len(g.primary.out)) < max(1, spare*g.primary.limit); room {
 		ok, cost, most := r.afford(q, g.primary)
-		room = ok && g.primary.credit-cost >= min(most-cost, (1-spare)*most)
+		room = ok && g.primary.credit-cost >= min(most-cost, (1-spare)*creditMost*cost)
 	}
 	if room && (len(sick) == 0 || !r.sick(g.primary)) && r.allowed(q, g.primary) {
 		return g.primary
@@ -846,8 +846,7 @@
 	}
 	n.credit = min(most, n.credit+rate*(r.now-n.creditAt).Seconds())
 	n.creditAt, n.most = r.now, most
-	// Few are held at a time: work worth less than half of the best leaves credit to what may come. Danger: a
-	// part of what long work saves up is many times what better, shorter work can use, and it starved.
+	// Few are held at a time: work worth less than half of the best leaves credit that the best could use.
 	reserve := min(most-cost, creditMost*r.bestLat) * reserved * max(0, 1-2*q.rank/r.best)
 	return n.credit >= cost+reserve, cost, most
 }
@@ -983,6 +982,7 @@
 	weight, cut := smooth, min(smooth, smooth/10*max(2, r.instances()))
 	if few {
 		weight, cut = 3*smooth, giveWay
+		r.ease(n, part)
 	}
 	n.slow += weight * (part - n.slow)
 	n.least = min(n.slow, n.least*(1+drift))
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1722,3 +1722,32 @@
 		}
 	}
 }
+
+// One of 300 instances whose weak read was late at a primary keeps the next ones away from it for a while; its writes go on.
+func TestWeakReadsEaseOffACrowdedPrimary(t *testing.T) {
+	c := base()
+	c.Instances, c.Probes = 300, false // no report ever makes a replica available
+	for took, want := range map[time.Duration][2]time.Duration{20 * ms: {0, 60 * ms}, 700 * ms: {100 * ms, 400 * ms}} {
+		for _, class := range []string{"bounded", "write"} {
+			h := newRig(t, c, List{Kind: ListCached, Entries: []Entry{{Node: "a", Zone: "a", Group: 1, State: Ready, Primary: true},
+				{Node: "b", Zone: "a", Group: 1, State: Ready}}})
+			s := h.sent(h.step(0, h.request("bounded")), "a")
+			for range took / (10 * ms) { // it runs all the time
+				h.step(10 * ms)
+			}
+			h.step(0, Outcome{ID: s[0].ID, Attempt: 0, Node: "a", Status: Done, Took: took, Finished: true, Role: RolePrimary, Position: h.now})
+			from := h.now
+			acts := h.step(10*ms, h.request(class))
+			for len(pick[Send](acts)) == 0 && h.now < from+5*time.Second {
+				acts = h.step(10 * ms)
+			}
+			least, most := want[0], want[1]
+			if class == "write" {
+				least, most = 0, 60*ms
+			}
+			if wait := h.now - from; wait < least || wait > most {
+				t.Errorf("behind a read that took %v: %s sent after %v, wanted %v to %v", took, class, wait, least, most)
+			}
+		}
+	}
+}
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -25,6 +25,9 @@
 	longs            map[string]int // long reads by member
 	long             int            // and all, with the time they waited there
 	queued           time.Duration
+	writes           int // the same of writes
+	waited           time.Duration
+	still            bool // replicas apply nothing
 	probes, requests int
 	refused          int
 
@@ -41,6 +44,7 @@
 	cores   []Time // when each is free
 	holds   Time   // a long read runs until then
 	applied Time
+	still   bool
 	startAt Time // cold from then on; 0 = warm
 	work    []piece
 }
@@ -165,7 +169,7 @@
 	if m.leads {
 		return now
 	}
-	if now >= m.holds {
+	if now >= m.holds && !m.still {
 		m.applied = now - behind
 	}
 	return m.applied
@@ -182,6 +186,10 @@
 	began := f.now
 	end := max(f.now, m.cores[core]) + work
 	m.cores[core] = end
+	if class == "write" {
+		f.writes++
+		f.waited += end - work - f.now
+	}
 	if class == "any" {
 		m.holds = max(m.holds, end)
 		f.long++
@@ -383,3 +391,24 @@
 		}
 	}
 }
+
+// No replica of any group is recent enough, and the reads of 300 instances flood the primaries at once. Once those have worked
+// it off they get reads again, as many as leave their writes room: what took long then is forgotten though little of it is sent.
+func TestReadsOfAFleetComeBackAfterAFlood(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		c := fleetConfig()
+		c.Instances = 300
+		f := newFleetOf(t, seed, 4, c)
+		for _, m := range f.members {
+			m.still = true
+		}
+		f.load(1600, 4, 12*time.Second)
+		f.writes, f.waited, f.reads = 0, 0, 0
+		f.load(1600, 4, 6*time.Second)
+		mean := f.waited / time.Duration(f.writes)
+		t.Logf("seed %d: %d writes waited %v in the mean, %d reads by primaries", seed, f.writes, mean, f.reads)
+		if most := c.Classes[2].Aim / 2; mean > most || f.reads < 1000 {
+			t.Errorf("seed %d: writes waited %v in the mean, %v at most wanted; %d reads", seed, mean, most, f.reads)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -56,8 +56,10 @@
 	since, trialAt   Time
 	goneAt           Time // when it left
 	backoff          time.Duration
-	proven, probing  bool    // a probe answered since the last trial; one is out
-	restAt, probedAt Time    // it was full: nothing new before this; the last probe
+	proven, probing  bool // a probe answered since the last trial; one is out
+	restAt, probedAt Time // it was full: nothing new before this; the last probe
+	easeAt           Time // no weak reads here as primary before this,
+	easeBy           time.Duration
 	wantedAt         Time    // a read could have gone there, had its data been known to be recent enough
 	credit           float64 // work that may be sent at once, where the share of this instance is under one attempt
 	most             float64 // what can be saved up of it
@@ -340,6 +342,21 @@
 	return long / max(all, math.SmallestNonzeroFloat64)
 }
 
+// ease keeps weak reads off a member, as primary, for a while after an answer that took as long as its aim or longer: twice
+// as long each time, half as long after each quick one.
+//
+// Danger: where no replica of a group is recent enough, the reads of hundreds of instances meet at its primary, one of each
+// at a time. That is more than it can do, all of them are late, and its writes with them. No limit tells an instance whose
+// share is under one attempt; each learns it from its own few answers, and those that it hits make room for the others.
+func (r *Router) ease(n *node, part float64) {
+	if part < 1 {
+		n.easeBy /= 2
+		return
+	}
+	n.easeBy = min(max(trialFirst, 2*n.easeBy), trialLast)
+	n.easeAt = r.now + n.easeBy/2 + time.Duration(r.rng.Int64N(int64(n.easeBy)))
+}
+
 // lost says that a group's primary is not known, or not to be reached.
 func (g *group) lost() bool { return g.state != usable || g.primary.suspect }
 
@@ -384,6 +401,10 @@
 func (r *Router) forget() {
 	for _, c := range r.classes {
 		c.seen *= 1 - drift
+		// Danger: after a flood little of a class is sent, since it takes so long, and nothing shows that it no longer does.
+		if r.startLimit() < 1 {
+			c.lat -= smooth * (c.lat - c.work)
+		}
 	}
 	keep := goneFor
 	if r.cfg.SoftRemoval {
