A list that can't be believed is asked for again within the grace, three times in a row

Cause, read in the code: an older, empty or unreadable list was written to the router and so counts as told, yet it was taken for a discovery that has too much to do, and the next call came 2 to 6 s later among 300 (list.Watcher.failed, Router.unheard), past the 2 s in which sends must end. Such an answer, and one that breaks off behind its head, is asked for again within 1.5 s; from the fourth in a row on a router backs off as before, so that a broken discovery is not asked by all at once for ever. Test: the first three say so, the fourth does not; without the change none does.

--- a/balance/api.go
+++ b/balance/api.go
@@ -118,7 +118,7 @@
 	ListFull                   // everything
 	ListCached                 // everything, as it was when the instance last ran
 	ListFailed                 // a call failed or the subscription broke
-	ListSilent                 // the same, and nothing was heard of the list's service: it can't be reached
+	ListSilent                 // the same, and the list's service was not heard, or said nothing that can be believed
 )
 
 // Entry is one member in a list.
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -17,7 +17,8 @@
 // Sink is told what discovery says.
 type Sink interface {
 	Told(l config.List)
-	// ListFailed says that a call has ended without a list; silent, that nothing was heard of discovery at all.
+	// ListFailed says that a call has ended without a list; silent, that discovery has not turned it away: nothing was heard
+	// of it, or nothing that can be believed.
 	ListFailed(silent bool)
 }
 
@@ -32,7 +33,8 @@
 
 	version int64  // of the newest list
 	whole   bool   // the next call asks for the whole list: this discovery has given none yet
-	older   int    // answers in a row that were older than the newest list
+	older   int    // answers in a row that were older than the newest list,
+	bad     int    // or could not be believed for any reason
 	fault   string // that was logged last, "" = the last answer was good
 	conn    *sock.Conn
 	reply   *response     // of the call that is out, nil = none
@@ -175,7 +177,7 @@
 		w.answered()
 	case w.reused && len(w.reply.buf) == 0 && !w.reply.inBody:
 		w.dial(w.text) // discovery had closed an idle connection: that is no failure
-	case !w.whole && w.loop.Now()-w.at > w.lim.CallSlack:
+	case w.reply.inBody, !w.whole && w.loop.Now()-w.at > w.lim.CallSlack:
 		// A call that discovery turns away waits no longer than this: it was a watch, and the link or discovery is lost.
 		w.silent(fmt.Errorf("watch ended: %v", err))
 	default:
@@ -196,20 +198,20 @@
 		return
 	}
 	if err := json.Unmarshal(r.body, &l); err != nil {
-		w.failed(fmt.Errorf("body: %w", err))
+		w.spoilt(fmt.Errorf("body: %w", err))
 		return
 	}
 	for i, e := range l.Servers {
 		if _, err := e.Balance(); err != nil {
-			w.failed(fmt.Errorf("servers[%d].%w", i, err))
+			w.spoilt(fmt.Errorf("servers[%d].%w", i, err))
 			return
 		}
 	}
 	if err := w.unfit(l); err != nil {
-		w.failed(err)
+		w.spoilt(err)
 		return
 	}
-	w.version, w.whole, w.older, w.fault = l.Version, false, 0, ""
+	w.version, w.whole, w.older, w.bad, w.fault = l.Version, false, 0, 0, ""
 	w.sink.Told(l)
 	// At once: a watch goes on only if its next call comes within 200 ms.
 	if !w.stopped {
@@ -237,10 +239,18 @@
 // olderMost is how many answers in a row may be older than the list that is known before one is believed.
 const olderMost = 2
 
-// failed ends a call that discovery has turned away, or answered with what can't be used.
+// failed ends a call that discovery has turned away.
 func (w *Watcher) failed(err error) { w.ended(err, false) }
 
-// silent ends a call of which nothing was heard: discovery is not overloaded for all that is known, it can't be reached.
+// spoilt ends a call with a list that can't be believed. What it should have said counts as told, so it is asked for again soon;
+// a discovery that goes on like that is not asked by all routers at once for ever.
+func (w *Watcher) spoilt(err error) {
+	w.bad++
+	w.ended(err, w.bad <= olderMost+1)
+}
+
+// silent ends a call of which nothing was heard. Discovery is not overloaded for all that is known, and what it had to tell
+// counts as told all the same.
 func (w *Watcher) silent(err error) { w.ended(err, true) }
 
 func (w *Watcher) ended(err error, silent bool) {
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -154,7 +154,7 @@
 			for range 2 { // after a failure nothing is asked before Track
 				select {
 				case silent := <-s.fails:
-					if silent != strings.HasPrefix(name, "silent") {
+					if silent == (name == "busy" || name == "reset") {
 						t.Fatalf("silent: %v", silent)
 					}
 					l.Post(w.Track)
@@ -196,9 +196,12 @@
 			if got := <-s.lists; got.Version != 7 {
 				t.Fatalf("%+v", got)
 			}
-			for range c.fails {
+			for i := range c.fails {
 				select {
-				case <-s.fails:
+				case silent := <-s.fails:
+					if silent != (i <= olderMost) { // it was written, so it counts as told; but not for ever at once
+						t.Fatalf("fault %d: asked for again soon: %v", i, silent)
+					}
 					l.Post(w.Track)
 				case got := <-s.lists:
 					t.Fatalf("%+v", got)
