--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -412,3 +412,18 @@
 		}
 	}
 }
+
+// One request a second comes to a group before 300 instances, in all, so each of them has nearly forgotten it by the next. Every
+// class is served: no limit, credit or report that an instance has to earn first keeps out the little there is.
+func TestLittleTrafficOfAFleetIsServed(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		c := fleetConfig()
+		c.Instances = 300
+		f := newFleetOf(t, seed, 2, c)
+		f.load(2, 2, 120*time.Second)
+		t.Logf("seed %d: %d of %d refused, %d long reads", seed, f.refused, f.requests, f.long)
+		if f.requests < 180 || f.refused*50 > f.requests || f.long == 0 || f.writes == 0 {
+			t.Errorf("seed %d: %d of %d refused; %d long reads and %d writes sent", seed, f.refused, f.requests, f.long, f.writes)
+		}
+	}
+}
