Where lists are pushed the router follows them by itself, within the settings' grace

At fault: the decision module gives Track only where Config.Ask is set (balance.go, askList), and list.Watcher asked nothing before Track.

Who calls for the list goes by whose capacity a call takes. Asked of one service: the module, as before. Pushed to an agent on the router's own machine: the watch goes on by itself (Watcher.Follow) with a bounded, jittered wait after each failure; wait, slack and pause follow from DrainGraceNs, so that a call that is lost is made again within three quarters of it (Limits.Pushed). A watch that does not wait and brings nothing is followed 50 ms later instead of at once. A settings' Discovery that is neither ask nor push is a fault of the configuration.

Also found on the way: with no bounded class every read that any member may answer counted as long and went to the last replica of its group (state.go, long). Reads are long only where a class is bounded.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1250,6 +1250,24 @@
 	}
 }
 
+// Where no class is bounded a held up log hurts no read: reads that any data will do for go to all replicas, however long they are.
+func TestWithoutABoundNoReadIsLong(t *testing.T) {
+	c := base()
+	c.Classes[0].Aim = 2 * time.Second
+	c.Classes = slices.DeleteFunc(c.Classes, func(k Class) bool { return k.Need == NeedBounded })
+	h := ready(t, c)
+	to := map[string]int{}
+	for range 40 {
+		for _, s := range pick[Send](h.step(ms, h.request("any"))) {
+			to[s.Node]++
+			h.step(0, Outcome{ID: s.ID, Node: s.Node, Status: Done, Took: ms, Finished: true, Role: RoleReplica, Position: h.now})
+		}
+	}
+	if to["b"] < 10 || to["c"] < 10 {
+		t.Fatalf("%v", to)
+	}
+}
+
 // What a silent connection has lost takes its whole time, which says nothing of how crowded its member is.
 func TestLostAttemptIsNoCrowd(t *testing.T) {
 	h := ready(t, base())
--- a/balance/state.go
+++ b/balance/state.go
@@ -302,7 +302,12 @@
 }
 
 // long says that reads of a class hold up the log for longer than other reads can bear.
-func (r *Router) long(c *class) bool { return c.Need == NeedAny && c.lat > longShare*r.bound.Seconds() }
+//
+// Danger: where no class is bounded no read is hurt by a log that is held up. Taken for a bound of 0, all reads went to the last
+// replica of each group.
+func (r *Router) long(c *class) bool {
+	return c.Need == NeedAny && r.bound > 0 && c.lat > longShare*r.bound.Seconds()
+}
 
 // last picks the replicas for a long read, of those that can take it: the last by id, all instances the same.
 //
--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -68,6 +68,9 @@
 	d := &daemon{log: log, loop: loop.New(), name: cfg.Name, known: map[string]bool{}}
 	d.lim = limits.For(cfg.Limits.MemoryMB, cfg.Limits.Sockets, time.Duration(cfg.Settings.Limits.ConnectTimeoutNs),
 		time.Duration(cfg.Settings.Limits.ConnIdleNs), longest).Among(cfg.Balance.Instances)
+	if !cfg.Balance.Ask {
+		d.lim = d.lim.Pushed(cfg.Balance.DrainGrace)
+	}
 	if dep.Extended.Listen != "" {
 		d.lim.Clients /= 2 // both fronts share the descriptors
 	}
@@ -132,6 +135,9 @@
 			d.watcher.From(known.Version)
 			first = 0
 		}
+		if !cfg.Balance.Ask { // otherwise the decision module says when
+			d.watcher.Follow(cfg.SeedValue)
+		}
 		d.loop.After(first, d.ready)
 		d.report()
 	})
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -43,6 +43,8 @@
 		{`"state":"ready"`, `"state":"well"`, "known.servers[0].state:"},
 		{`"ConnIdleNs":15,`, ``, "settings.Limits.ConnIdleNs:"},
 		{`"ConnectTimeoutNs":25`, `"ConnectTimeoutNs":0`, "settings.Limits.ConnectTimeoutNs:"},
+		{`"Discovery":"ask"`, `"Discovery":"pull"`, "settings.Discovery:"},
+		{`"Discovery":"ask",`, ``, "settings.Discovery:"},
 		{`"Guards":"silent"`, `"Guards":"odd"`, "settings.Extra.Guards:"},
 		{`"GiveUpNs":2`, `"GiveUpNs":0`, "settings: Classes: GiveUp"},
 		{`{"name"`, `{"name"x`, "EDGE_CONFIG:"},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -71,6 +71,10 @@
 		ColdFor: time.Duration(p.Contract.ColdNs), FallMultiple: p.Contract.FallMultiple,
 		FallFor: time.Duration(p.Contract.FallNs), SoftRemoval: p.Contract.SoftRemoval,
 	}
+	// Guards against a router that nobody tells of a drain: by a word it does not know it would neither ask nor follow.
+	if p.Discovery != "ask" && p.Discovery != "push" {
+		return c, fmt.Errorf("Discovery: unknown word %q", p.Discovery)
+	}
 	var ok bool
 	if c.Checks, ok = checks[p.Extra.Guards]; !ok {
 		return c, fmt.Errorf("Extra.Guards: unknown word %q", p.Extra.Guards)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -76,6 +76,8 @@
 	WatchWait    time.Duration // what a watch asks discovery to wait
 	CallSlack    time.Duration // a call of discovery that does not wait fails after this, as discovery drops what waits longer for its turn,
 	WatchSlack   time.Duration // and a watch this long after its wait: what it had to tell counts as told by twice that
+	WatchGap     time.Duration // the next call after one that did not wait and brought nothing: a watch goes on if it comes within 200 ms
+	ListAgain    time.Duration // the longest wait after a call that brought no list, where the watch goes on by itself; 0 = it does not
 	ListFirst    time.Duration // the router is ready without a list after this
 	ListKnown    bool          // it starts from the list it knows, and asks for what has changed since only
 	DrainAccept  time.Duration // connections are accepted for this long after SIGTERM
@@ -102,6 +104,17 @@
 	return l
 }
 
+// Pushed is how the list is followed where it is pushed to an agent on the router's own machine, which answers at no cost. What
+// the agent has counts as told, heard or not, and sends must end within the grace: a call that is not answered is found and
+// made again within three quarters of it, however it failed. Where no grace is given it is taken as the shortest one.
+func (l Limits) Pushed(grace time.Duration) Limits {
+	const shortest, longest = 200 * time.Millisecond, 2 * time.Second
+	part := min(max(grace, shortest), longest) / 4
+	l.WatchWait, l.WatchSlack, l.CallSlack, l.ListAgain = part, part, 2*part, part
+	l.ListKnown = false // a whole list costs nobody anything, and leaves nothing out
+	return l
+}
+
 // Lean is what a process may use while another one of the same router is alive: the platform counts them as one. All
 // clients come over to the new one before the old one is gone, and have no more connections than before: they keep more
 // than a half.
@@ -147,7 +160,7 @@
 		ClientSilent: 100 * time.Millisecond, ClientTight: 100 * time.Millisecond, ClientMute: 500 * time.Millisecond,
 		ClientIdle: 2 * time.Second, ClientSweep: 50 * time.Millisecond,
 		CallWhole: 2 * time.Second, EmptyIdle: time.Second,
-		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, WatchSlack: time.Second, ListFirst: time.Second,
+		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, WatchSlack: time.Second, WatchGap: 50 * time.Millisecond, ListFirst: time.Second,
 		DrainAccept: 500 * time.Millisecond, DrainMost: longest + 600*time.Millisecond, Sweep: time.Second, Report: 10 * time.Second,
 		AuditGather: 10 * time.Millisecond, AuditTick: 250 * time.Millisecond, AuditEvery: 10 * time.Second, SyslogUp: 3 * time.Second,
 		SyslogStall: 5 * time.Second, SyslogFirst: 100 * time.Millisecond, SyslogLast: 10 * time.Second, SyslogPrefer: time.Minute,
--- /dev/null
+++ b/internal/list/follow_test.go
@@ -0,0 +1,128 @@
+package list
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"limeladder/internal/config"
+	"limeladder/internal/limits"
+	"limeladder/internal/loop"
+	"limeladder/internal/sock"
+	"limeladder/internal/standin"
+)
+
+// follow starts a watch that goes on by itself, at an agent, within a grace.
+func follow(t *testing.T, grace time.Duration) (told, *standin.Agent) {
+	a, err := standin.NewAgent(config.Entry{ID: "s", Addr: "127.0.0.1:1", State: "ready"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := loop.New()
+	e, err := sock.New(l, 256, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := told{make(chan config.List, 999), make(chan bool, 999)}
+	lim := limits.For(192, 1024, 250*time.Millisecond, time.Second, time.Second).Pushed(grace)
+	w := New(l, e, lim, slog.New(slog.NewTextHandler(io.Discard, nil)), a.Addr, s)
+	go l.Run(func() {})
+	l.Post(func() { w.Follow(7) })
+	t.Cleanup(func() { l.Post(w.Stop); l.Stop(); e.Stop(); a.Stop() })
+	if got := next(t, s); !got.Full || len(got.Servers) != 1 {
+		t.Fatalf("%+v", got)
+	}
+	return s, a
+}
+
+// next is the next list that says something.
+func next(t *testing.T, s told) config.List {
+	t.Helper()
+	for end := time.After(20 * time.Second); ; {
+		select {
+		case l := <-s.lists:
+			if len(l.Servers) > 0 {
+				return l
+			}
+		case <-end:
+			t.Fatal("nothing is told")
+		}
+	}
+}
+
+// Where lists are pushed nobody calls Track: the watch goes on by itself through every failure, and hears what came meanwhile.
+func TestFollowGoesOnByItself(t *testing.T) {
+	drain := config.Entry{ID: "s", Addr: "127.0.0.1:1", State: "draining"}
+	for name, fail := range map[string]func(a *standin.Agent) (back func()){
+		"silent": func(a *standin.Agent) func() { a.Silent(true); return func() { a.Silent(false) } },
+		"busy":   func(a *standin.Agent) func() { a.Fault(503); return func() { a.Fault(0) } },
+		"away": func(a *standin.Agent) func() {
+			a.Stop()
+			return func() {
+				if err := a.Start(); err != nil {
+					t.Error(err)
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, a := follow(t, 500*time.Millisecond)
+			for range 2 {
+				back := fail(a)
+				for range 3 { // it has tried again and failed
+					select {
+					case <-s.fails:
+					case <-time.After(20 * time.Second):
+						t.Fatal("it does not try again")
+					}
+				}
+				a.Push(drain)
+				back()
+				if got := next(t, s); got.Servers[0].State != "draining" {
+					t.Fatalf("%+v", got)
+				}
+			}
+		})
+	}
+}
+
+// A call that fails, whichever way, is found and made again within three quarters of the grace.
+func TestPushedIsHeardWithinTheGrace(t *testing.T) {
+	for _, grace := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, 10 * time.Second} {
+		l := limits.For(192, 1024, 250*time.Millisecond, time.Second, time.Second).Pushed(grace)
+		if found := max(l.WatchWait+l.WatchSlack, l.CallSlack) + l.ListAgain; found > grace*3/4 {
+			t.Errorf("grace %v: made again after %v", grace, found)
+		}
+		p := pace{most: l.ListAgain, rng: rand.New(rand.NewPCG(1, 2))}
+		for range 50 {
+			if gap := p.failed(); gap > l.ListAgain || gap <= 0 {
+				t.Errorf("grace %v: a wait of %v", grace, gap)
+			}
+		}
+		if p.heard(); p.failed() > paceFirst {
+			t.Errorf("grace %v: a first wait is long", grace)
+		}
+	}
+	for _, grace := range []time.Duration{0, time.Millisecond} {
+		if l := limits.For(192, 1024, 250*time.Millisecond, time.Second, time.Second).Pushed(grace); l.WatchWait < 20*time.Millisecond || l.ListAgain < 20*time.Millisecond {
+			t.Errorf("grace %v: asks all the time, %+v", grace, l)
+		}
+	}
+}
+
+// An agent whose watches do not wait is not asked without pause.
+func TestHastyAgentIsNotAskedWithoutPause(t *testing.T) {
+	s, a := follow(t, 500*time.Millisecond)
+	a.Hasty(true)
+	was, at := a.Calls(), time.Now()
+	time.Sleep(300 * time.Millisecond)
+	if n, most := a.Calls()-was, int(time.Since(at)/(50*time.Millisecond))+2; n > most {
+		t.Errorf("%d calls in %v", n, time.Since(at))
+	}
+	a.Push(config.Entry{ID: "s", Addr: "127.0.0.1:1", State: "draining"})
+	if got := next(t, s); got.Servers[0].State != "draining" {
+		t.Fatalf("%+v", got)
+	}
+}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"limeladder/internal/config"
@@ -23,6 +24,10 @@
 }
 
 // Watcher keeps one call out at a time. All of it runs in the loop's goroutine.
+//
+// Who calls again after a failure goes by whose capacity a call takes. Where discovery is one service that all routers ask, the
+// decision module does (Track): it spreads the calls of the whole fleet. Where lists are pushed to an agent on the router's own
+// machine a call costs nobody anything, and the watch goes on by itself (Follow).
 type Watcher struct {
 	loop   *loop.Loop
 	engine *sock.Engine
@@ -39,14 +44,17 @@
 	conn    *sock.Conn
 	reply   *response     // of the call that is out, nil = none
 	limit   *loop.Timer   // its deadline
-	at      time.Duration // when it was made
+	at      time.Duration // when it was made,
+	wait    time.Duration // and how long discovery may wait with its answer
 	text    []byte        // the call
 	reused  bool          // it went out on a connection that had carried another
 	dials   int           // the newest dial; an older one that comes up late is closed
+	pace    *pace         // of a watch that goes on by itself, nil = Track is called after each failure
+	again   *loop.Timer   // the next call, where it waits
 	stopped bool
 }
 
-// New returns a Watcher that asks nothing before Track.
+// New returns a Watcher that asks nothing before Track or Follow.
 func New(l *loop.Loop, e *sock.Engine, lim limits.Limits, log *slog.Logger, addr string, s Sink) *Watcher {
 	return &Watcher{loop: l, engine: e, lim: lim, log: log, addr: addr, whole: true, sink: s}
 }
@@ -72,6 +80,15 @@
 	}
 }
 
+// Follow starts to follow the list and goes on by itself after each failure, within Limits.ListAgain: nobody has to call Track.
+func (w *Watcher) Follow(seed uint64) {
+	w.pace = &pace{most: w.lim.ListAgain, rng: rand.New(rand.NewPCG(seed, followStream))}
+	w.Track()
+}
+
+// followStream tells the draws of this package from others of the same seed.
+const followStream = 0x6c697374
+
 // Stop ends the watch.
 func (w *Watcher) Stop() {
 	w.stopped = true
@@ -81,6 +98,7 @@
 func (w *Watcher) drop() {
 	w.dials++
 	w.limit.Stop()
+	w.again.Stop()
 	w.reply = nil
 	if w.conn != nil {
 		w.conn.Close()
@@ -100,11 +118,12 @@
 	}
 	// Guards against a cut link: a silent call must not be taken for a quiet list.
 	w.limit.Stop()
+	w.again.Stop()
 	slack := w.lim.CallSlack
 	if wait > 0 {
 		slack = w.lim.WatchSlack
 	}
-	w.at = w.loop.Now()
+	w.at, w.wait = w.loop.Now(), wait
 	w.limit = w.loop.After(wait+slack, func() { w.silent(errors.New("no answer in time")) })
 	w.text = fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, w.addr)
 	if w.conn != nil {
@@ -212,10 +231,17 @@
 		return
 	}
 	w.version, w.whole, w.older, w.bad, w.fault = l.Version, false, 0, 0, ""
+	if w.pace != nil {
+		w.pace.heard()
+	}
 	w.sink.Told(l)
-	// At once: a watch goes on only if its next call comes within 200 ms.
-	if !w.stopped {
-		w.call()
+	switch early := w.loop.Now()-w.at < w.wait/2; {
+	case w.stopped, w.reply != nil:
+	case early && !l.Full && len(l.Servers) == 0:
+		// Guards the router's part of a core against a discovery that does not wait. The watch still goes on.
+		w.again = w.loop.After(w.lim.WatchGap, w.call)
+	default:
+		w.call() // at once: a watch goes on only if its next call comes within 200 ms
 	}
 }
 
@@ -260,7 +286,11 @@
 		w.log.Warn("discovery failed", "err", err)
 	}
 	w.drop()
-	if !w.stopped {
-		w.sink.ListFailed(silent)
+	if w.stopped {
+		return
+	}
+	if w.pace != nil {
+		w.again = w.loop.After(w.pace.failed(), w.Track)
 	}
+	w.sink.ListFailed(silent)
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -353,11 +353,17 @@
 
 // Send writes p.
 func (k *Client) Send(p []byte) {
-	if _, err := k.c.Write(p); err != nil {
+	if err := k.Write(p); err != nil {
 		k.t.Fatal(err)
 	}
 }
 
+// Write writes p to a router that may have closed the connection.
+func (k *Client) Write(p []byte) error {
+	_, err := k.c.Write(p)
+	return err
+}
+
 // Close ends the connection.
 func (k *Client) Close() { k.c.Close() }
 
