A process that begins goes by the list that the one it replaces has heard

Seen in a test of two processes with an agent that says nothing: the new one sends to a drained machine 1.5 s after the router was told, by the `known` of its configuration (daemon.go, listed(known, ListCached)), and takes clients from the socket that both hold 20 ms after its start, before any list (daemon.go, listen: the listener accepted at once). Ruled out: the old process, which has the drain; the watch, which has nobody to hear. What the agent has counts as told, so the send breaks the rule.

While two processes of a router are alive each writes the list as discovery told it into the handover folder; one that has not been answered itself goes by it. Nothing is written while a process is alone. On an inherited socket the process that begins accepts from the moment it is ready.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -39,9 +39,12 @@
 	ending   bool // SIGTERM has come
 	draining bool // and the listeners are closed
 	name     string
-	record   *recording      // nil = off
-	store    *store.Store    // nil = off
-	told     bool            // discovery has answered
+	record   *recording              // nil = off
+	store    *store.Store            // nil = off
+	told     bool                    // discovery has answered
+	latest   map[string]config.Entry // the list as it stands, by id; its version is
+	version  int64
+	two      bool            // another process of this router is alive
 	hinted   bool            // what an earlier start knew of primaries is told to the core
 	operator *sock.Listener  // nil = off
 	known    map[string]bool // the db machines that discovery has named, ever
@@ -65,7 +68,7 @@
 	for _, c := range cfg.Balance.Classes {
 		longest = max(longest, c.GiveUp)
 	}
-	d := &daemon{log: log, loop: loop.New(), name: cfg.Name, known: map[string]bool{}}
+	d := &daemon{log: log, loop: loop.New(), name: cfg.Name, known: map[string]bool{}, latest: map[string]config.Entry{}}
 	d.lim = limits.For(cfg.Limits.MemoryMB, cfg.Limits.Sockets, time.Duration(cfg.Settings.Limits.ConnectTimeoutNs),
 		time.Duration(cfg.Settings.Limits.ConnIdleNs), longest).Among(cfg.Balance.Instances)
 	if !cfg.Balance.Ask {
@@ -77,6 +80,7 @@
 	d.full, d.dep, d.passed = d.lim, dep, cfg.Inherited > 0
 	var left handover.State
 	if d.shared, left = handover.Open(os.Getenv("TMPDIR"), cfg.Listen, d.lim.Listed, log); !d.shared.First() {
+		d.two = true
 		log.Info("another process of this router serves")
 		d.lim = d.full.Lean()
 	}
@@ -229,17 +233,30 @@
 	if f.Empty(d.emptied); d.serving {
 		f.Ready()
 	}
-	l := d.engine.Serve(ln, d.lim.Clients, d.loop.Post, d.log, f.Accept)
+	l := d.engine.Serve(ln, d.places(), d.loop.Post, d.log, f.Accept)
 	d.log.Info("listening", "front", field, "addr", l.Addr().String(), "inherited", inherited)
 	d.fronts = append(d.fronts, front{f, l})
 	return nil
 }
 
 func (d *daemon) ready() {
+	if d.serving {
+		return
+	}
 	d.serving = true
 	for _, f := range d.fronts {
 		f.Ready()
+		f.listener.Resize(d.places())
+	}
+}
+
+// places is how many connections a front takes now. Guards requests at an upgrade: on a socket that both processes hold, the one
+// that begins takes none while it has no list but the one of its start, since the other one serves.
+func (d *daemon) places() int {
+	if d.passed && d.two && !d.serving {
+		return 0
 	}
+	return d.lim.Clients
 }
 
 func (d *daemon) clients() (n int) {
@@ -277,6 +294,9 @@
 	}
 	d.told = true
 	d.listed(l, kind)
+	if l.Full || len(l.Servers) > 0 {
+		d.pass()
+	}
 	d.ready()
 	if l.Full {
 		d.keep("list", l)
@@ -298,6 +318,7 @@
 	if len(l.Servers) > 0 {
 		d.log.Info("list", "version", l.Version, "full", l.Full, "servers", fmt.Sprint(l.Servers))
 	}
+	d.merge(l, kind)
 	d.record.listed(l, kind)
 	if d.core.List(b); len(ids) > 0 {
 		d.Listed(ids)
--- a/cmd/limeladder/deployment_test.go
+++ b/cmd/limeladder/deployment_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -172,3 +174,106 @@
 		kept(t, dbs[1+i], agent.Has(id, "draining"))
 	}
 }
+
+// A process that begins while its agent says nothing goes by what the one that it replaces has heard, not by the old list that it
+// was started with: the agent had the drain, so it counts as told.
+func TestNewProcessGoesByWhatTheOldOneHeard(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	dbs, list, agent := bank(t, nil)
+	cfg := pushed(t, agent, list...)
+	old := serve(t, cfg)
+	stop := make(chan bool)
+	all := []*sync.WaitGroup{ask(t, old, "old", 2, stop)}
+	agent.Push(with(list[1], "draining"))
+	time.Sleep(pushedGrace)
+	agent.Silent(true)
+	fresh := serve(t, cfg)
+	ready(t, fresh)
+	all = append(all, ask(t, fresh, "new", 4, stop))
+	time.Sleep(pushedGrace)
+	close(stop)
+	for _, w := range all {
+		w.Wait()
+	}
+	kept(t, dbs[1], agent.Has("a", "draining"))
+	ran := 0
+	for _, w := range dbs[2].Log().Whole {
+		if strings.HasPrefix(w.ID, "new") {
+			ran++
+		}
+	}
+	if ran == 0 {
+		t.Error("the new process has sent nothing")
+	}
+}
+
+// ready waits until clients may come.
+func ready(t *testing.T, d *daemon) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		is := make(chan bool)
+		if d.loop.Post(func() { is <- d.fronts[0].Takes() }); <-is {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("not ready")
+		}
+	}
+}
+
+// On a socket that both processes hold, the one that begins takes no client while it has no list but the one of its start.
+func TestNewProcessTakesNoneBeforeItIsReady(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	_, list, agent := bank(t, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	start := func() *daemon {
+		cfg := pushed(t, agent, list...)
+		f, err := ln.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		if cfg.Inherited, err = syscall.Dup(int(f.Fd())); err != nil {
+			t.Fatal(err)
+		}
+		cfg.Listen = ln.Addr().String()
+		return serve(t, cfg)
+	}
+	old := start()
+	ready(t, old)
+	agent.Silent(true)
+	fresh := start()
+	taken := func() (n uint64, ready bool) {
+		type state struct {
+			n     uint64
+			ready bool
+		}
+		ch := make(chan state)
+		fresh.loop.Post(func() { ch <- state{fresh.core.Counts().Taken, fresh.serving} })
+		s := <-ch
+		return s.n, s.ready
+	}
+	for n := 0; ; n++ {
+		c := standin.Dial(t, ln.Addr().String())
+		c.Send(pgwire.AppendQuery(nil, sql(fmt.Sprint("r", n), "look")))
+		if a := c.Until('Z'); a.Value == "" {
+			t.Fatalf("%+v", a)
+		}
+		c.Close()
+		k, ready := taken()
+		if !ready && k > 0 {
+			t.Fatalf("request %d: the new one has taken it", n)
+		}
+		if ready && k > 0 {
+			break // and once it is ready it does
+		}
+		if n > 20_000 {
+			t.Fatal("the new one takes nothing")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/cmd/limeladder/operate.go
+++ b/cmd/limeladder/operate.go
@@ -1,7 +1,13 @@
 package main
 
 import (
+	"encoding/json"
+	"maps"
 	"runtime/debug"
+	"slices"
+
+	"limeladder/balance"
+	"limeladder/internal/config"
 )
 
 // What operators ask for, as internal/operator hands it on, and what the other process of this router has been asked, as
@@ -70,10 +76,50 @@
 	}
 }
 
+// merge notes what a list changes in the one that stands.
+func (d *daemon) merge(l config.List, kind balance.ListKind) {
+	if kind != balance.ListDelta {
+		clear(d.latest)
+	}
+	for _, e := range l.Servers {
+		if d.latest[e.ID] = e; e.State == "gone" {
+			delete(d.latest, e.ID)
+		}
+	}
+	d.version = l.Version
+}
+
+// pass tells the other process the list, as discovery has told it to this one. Guards the drains at an upgrade: a new process
+// whose own calls are not answered would send to machines that this one knows to drain.
+func (d *daemon) pass() {
+	if !d.two || !d.told {
+		return
+	}
+	l := config.List{Version: d.version, Full: true}
+	for _, id := range slices.Sorted(maps.Keys(d.latest)) {
+		l.Servers = append(l.Servers, d.latest[id])
+	}
+	if p, err := json.Marshal(l); err == nil {
+		d.shared.Hear(p)
+	}
+}
+
+// Heard implements handover.Sink. What discovery itself has told this process stands.
+func (d *daemon) Heard(list []byte) {
+	var l config.List
+	if d.told || json.Unmarshal(list, &l) != nil || len(l.Servers) == 0 {
+		return
+	}
+	d.log.Info("list of another process")
+	d.listed(l, balance.ListCached)
+}
+
 // Alone implements handover.Sink. Guards the router's memory and descriptors, which the platform counts over both
 // processes: each goes by a half while there are two.
 func (d *daemon) Alone(alone bool) {
 	d.log.Info("processes of this router", "alone", alone)
+	d.two = !alone
+	d.pass()
 	if d.lim = d.full; !alone {
 		d.lim = d.full.Lean()
 	}
@@ -81,7 +127,7 @@
 	d.pool.Limit(d.lim)
 	for _, f := range d.fronts {
 		f.Limit(d.lim)
-		f.listener.Resize(d.lim.Clients)
+		f.listener.Resize(d.places())
 	}
 	if !alone {
 		go debug.FreeOSMemory() // what the other one starts with has to come from here
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,8 +1,9 @@
 // Package handover is what a process shares with the one that replaces it, while both serve: who is alone, what operators
-// have asked for, and which db machines were ever listed. It is a folder of the router's own under $TMPDIR.
+// have asked for, which db machines were ever listed, and the list as discovery told it last. It is a folder of the router's own under $TMPDIR.
 package handover
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -22,6 +23,8 @@
 	Suspended(id string, out bool)
 	Drained(on bool)
 	Listed(ids []string)
+	// Heard brings the whole list as the other process has it from discovery now.
+	Heard(list []byte)
 	// Alone says whether this is the only process from now on.
 	Alone(alone bool)
 }
@@ -31,6 +34,7 @@
 	Suspended map[string]bool
 	Drained   bool
 	Listed    []string
+	List      []byte // the list that a process heard last while another one was there; it may be old
 }
 
 // Shared is the folder. Its methods, but for Open's work, only queue what a goroutine of its own does.
@@ -42,7 +46,8 @@
 	stop   chan struct{}
 	done   chan struct{}
 	seen   State       // as the folder was last, owned by the goroutine
-	listed fs.FileInfo // of the file of ids that was read last
+	listed fs.FileInfo // of the file of ids that was read last,
+	list   fs.FileInfo // and of the list's
 	serves *os.File    // locked by the process that serves
 	next   *os.File    // locked by the one that is to replace it
 	edit   *os.File    // locked while the ids are read and written again
@@ -151,6 +156,9 @@
 	if !slices.Equal(now.Listed, was.Listed) {
 		post(func() { sink.Listed(now.Listed) })
 	}
+	if !bytes.Equal(now.List, was.List) {
+		post(func() { sink.Heard(now.List) })
+	}
 	// Only a process that waits to serve alone holds the other lock for long. The one that serves tries it in passing.
 	serves, alone := lock(s.serves), lock(s.next) // it is the same to hold one already
 	if serves && alone {
@@ -166,7 +174,7 @@
 // read reads the folder. Files that are stale or broken are passed over: no process may fail on what another has left.
 func (s *Shared) read() {
 	s.reads++
-	now := State{Suspended: map[string]bool{}, Listed: s.seen.Listed}
+	now := State{Suspended: map[string]bool{}, Listed: s.seen.Listed, List: s.seen.List}
 	entries, err := os.ReadDir(filepath.Join(s.dir, "suspended"))
 	if err != nil {
 		return
@@ -178,15 +186,28 @@
 	}
 	_, err = os.Stat(filepath.Join(s.dir, "drained"))
 	now.Drained = err == nil
-	// Guards against two changes within one tick of the file system's clock: the time alone would hide the second.
-	if i, err := os.Stat(filepath.Join(s.dir, "listed")); err == nil && (s.listed == nil || !os.SameFile(i, s.listed) ||
-		i.ModTime() != s.listed.ModTime() || i.Size() != s.listed.Size()) {
-		s.listed = i
+	if s.changed("listed", &s.listed) {
 		now.Listed = union(now.Listed, s.ids(), s.most)
 	}
+	if s.changed("list", &s.list) {
+		if p, err := os.ReadFile(filepath.Join(s.dir, "list")); err == nil {
+			now.List = p
+		}
+	}
 	s.seen = now
 }
 
+// changed says whether a file is another one than when this was asked last.
+func (s *Shared) changed(file string, last *fs.FileInfo) bool {
+	i, err := os.Stat(filepath.Join(s.dir, file))
+	// Guards against two changes within one tick of the file system's clock: the time alone would hide the second.
+	if was := *last; err != nil || was != nil && os.SameFile(i, was) && i.ModTime() == was.ModTime() && i.Size() == was.Size() {
+		return false
+	}
+	*last = i
+	return true
+}
+
 func (s *Shared) ids() (ids []string) {
 	p, err := os.ReadFile(filepath.Join(s.dir, "listed"))
 	if err != nil || json.Unmarshal(p, &ids) != nil {
@@ -259,6 +280,16 @@
 	})
 }
 
+// Hear notes the whole list as this process has it from discovery, for the other one: where that can't hear discovery itself, it
+// would go by a list from before its start.
+func (s *Shared) Hear(list []byte) {
+	s.do(func() {
+		if s.put("list", list, true) {
+			s.seen.List = list
+		}
+	})
+}
+
 func (s *Shared) do(f func()) {
 	if s.dir == "" {
 		go f() // there is nothing to write, and no goroutine need be waited for
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -18,6 +18,7 @@
 	out   map[string]bool
 	drain bool
 	ids   []string
+	list  string
 	alone bool
 	last  string
 	told  chan func()
@@ -26,6 +27,7 @@
 func (s *sink) Suspended(id string, out bool) { s.out[id] = out; s.last = id }
 func (s *sink) Drained(on bool)               { s.drain = on; s.last = "drain" }
 func (s *sink) Listed(ids []string)           { s.ids = ids; s.last = "ids" }
+func (s *sink) Heard(list []byte)             { s.list = string(list); s.last = "list" }
 func (s *sink) Alone(alone bool)              { s.alone = alone; s.last = "alone" }
 
 func (s *sink) wait(t *testing.T, want string) {
@@ -153,3 +155,32 @@
 		t.Fatalf("a newcomer is not seen: alone %v", ka.alone)
 	}
 }
+
+// The list that one process has heard reaches the other one, and comes back to nobody; one left from before is no news.
+func TestListPassesOn(t *testing.T) {
+	root := t.TempDir()
+	before, _, _ := open(t, root)
+	before.Hear([]byte("left over"))
+	before.Close()
+	a, left, ka := open(t, root)
+	if string(left.List) != "left over" {
+		t.Fatalf("%q", left.List)
+	}
+	b, _, kb := open(t, root)
+	ka.wait(t, "alone")
+	for _, list := range []string{"one", "two"} {
+		a.Hear([]byte(list))
+		if kb.wait(t, "list"); kb.list != list {
+			t.Fatalf("%q", kb.list)
+		}
+	}
+	b.Hear([]byte("three"))
+	if ka.wait(t, "list"); ka.list != "three" {
+		t.Fatalf("%q", ka.list)
+	}
+	a.Close()
+	if kb.wait(t, "alone"); len(ka.told)+len(kb.told) > 0 {
+		t.Fatal("something is told twice")
+	}
+	b.Close()
+}
