Laboratory: the other kind of deployment: pushed lists, late roles, roaming sessions

The laboratory knew one kind of deployment: discovery that is asked, roles as at the start, a grace of 2 s, sessions that all roam, and bounded reads that no machine looked at. The list that both skins show is made in one place (model.Registry); on sockets the router's settings say push and the grace too.

Checkers: the age of a bounded read's data is checked at each attempt's own send; a machine that has led is excused until an answer has told that router otherwise, as the contract says.

Seen: a router sends db2a what it has to see of 1004.5 s where db2a has told 1009.854 s; ruled out: the module, whose sends fit what it was told.

--- a/internal/lab/fleet/client.go
+++ b/internal/lab/fleet/client.go
@@ -62,10 +62,13 @@
 	q.send()
 }
 
-// send hands it to a router: any of them, since sessions roam.
+// send hands it to a router: any of them if its session roams.
 func (q *request) send() {
 	f := q.f
 	r := f.routers[f.rng.IntN(len(f.routers))]
+	if home := q.session.home; home >= 0 && f.routers[home].alive {
+		r = f.routers[home]
+	}
 	for range 8 {
 		if r.alive {
 			break
@@ -223,8 +226,8 @@
 	}
 }
 
-// ran notes that a machine has run a copy.
-func (f *Fleet) ran(q *request, m *model.Machine, pos time.Duration) {
+// ran notes that a machine has run a copy, which had to see a position.
+func (f *Fleet) ran(q *request, m *model.Machine, pos, see time.Duration) {
 	q.runs++
-	f.obs.ran(q, m, pos)
+	f.obs.ran(q, m, pos, see)
 }
--- a/internal/lab/fleet/config.go
+++ b/internal/lab/fleet/config.go
@@ -38,6 +38,9 @@
 
 	Notice     [2]time.Duration // until discovery tells a change
 	Silent     [2]time.Duration // and that a machine has gone without a word
+	RoleLag    [2]time.Duration // and that another machine leads, 0 = it says who led at the start
+	Pushed     bool             // lists are pushed to an agent of each router, otherwise routers ask discovery
+	Grace      time.Duration    // sends to a machine must have ended so long after a router was told that it leaves
 	Call       time.Duration    // what a call of discovery costs it
 	CallWithin time.Duration    // the longest that a router waits for it
 
@@ -46,15 +49,18 @@
 	Backoff  time.Duration
 	Leave    float64 // share that leaves before it has an answer
 	Sessions int
+	Roam     float64       // share of sessions that any router may get, the others keep to one while it lives
+	Comeback time.Duration // the longest that a router may tell a client to stay away
 
 	ConnectWithin, ConnIdle time.Duration
 	MemoryMB, Sockets       int
 	MostTries               int
 	ProbePrice, HeldBack    float64
 	Cancel                  bool
-	Hold                    []string // classes whose requests are held through a change of primary
-	HarmColdBudget          bool     // the routers know nothing of cold machines: a change that does harm
-	Salt                    uint64   // the routers draw otherwise, the world does not: what chance alone does
+	Checks                  balance.Checks // what a machine does with a read that it is too far behind for
+	Hold                    []string       // classes whose requests are held through a change of primary
+	HarmColdBudget          bool           // the routers know nothing of cold machines: a change that does harm
+	Salt                    uint64         // the routers draw otherwise, the world does not: what chance alone does
 
 	Faults []Fault
 }
@@ -116,7 +122,7 @@
 		Same: 200 * time.Microsecond, Cross: ms, Client: 700 * time.Microsecond, Jitter: 0.2,
 		Notice: [2]time.Duration{870 * ms, 4300 * ms}, Silent: [2]time.Duration{6600 * ms, 12 * time.Second},
 		Call: 5 * ms, CallWithin: 2 * time.Second,
-		Retries: 2, Honour: 0.6, Backoff: 60 * ms, Leave: 0.005, Sessions: 400,
+		Retries: 2, Honour: 0.6, Backoff: 60 * ms, Leave: 0.005, Sessions: 400, Roam: 1, Comeback: 2 * time.Second, Grace: 2 * time.Second, Checks: balance.ChecksRefuse,
 		ConnectWithin: 250 * ms, ConnIdle: 15 * time.Second, MemoryMB: 64, Sockets: 2048, MostTries: 10, ProbePrice: 0.017, HeldBack: 0.3, Cancel: true,
 	}
 }
@@ -137,6 +143,8 @@
 		return bad("use", "a part of all capacity is needed")
 	case len(c.Classes) == 0:
 		return bad("classes", "at least one is needed")
+	case c.Checks == balance.ChecksWait:
+		return bad("checks", "machines that wait are not emulated")
 	case c.Kind.Cores < 1 || c.Kind.Slots < 1 || c.Kind.Speed <= 0:
 		return bad("machine", "cores, slots and speed are needed")
 	}
@@ -164,8 +172,8 @@
 
 // balance is what each router is told.
 func (c *Config) balance(zone string) balance.Config {
-	b := balance.Config{Instances: c.Routers, Zone: zone, Ask: true, AskWithin: 5 * time.Second, DrainGrace: grace, Resolution: 5 * time.Millisecond, Checks: balance.ChecksRefuse, ClientTokens: true,
-		Probes: true, ProbePrice: c.ProbePrice, HeldBack: c.HeldBack, Cancel: c.Cancel, RetryAfter: true, MaxRetryAfter: 2 * time.Second, MostTries: c.MostTries,
+	b := balance.Config{Instances: c.Routers, Zone: zone, Ask: !c.Pushed, AskWithin: 5 * time.Second, DrainGrace: c.Grace, Resolution: 5 * time.Millisecond, Checks: c.Checks, ClientTokens: true,
+		Probes: true, ProbePrice: c.ProbePrice, HeldBack: c.HeldBack, Cancel: c.Cancel, RetryAfter: true, MaxRetryAfter: c.Comeback, MostTries: c.MostTries,
 		ColdFrom: c.Kind.ColdFrom, ColdFor: c.Kind.ColdFor, FallMultiple: c.Kind.FallMultiple, FallFor: c.Kind.FallFor}
 	if c.HarmColdBudget {
 		b.ColdFrom, b.ColdFor = 1, 0
--- a/internal/lab/fleet/directory.go
+++ b/internal/lab/fleet/directory.go
@@ -8,86 +8,89 @@
 	"limeladder/internal/limits"
 )
 
-// directory is discovery: it hears of changes late, tells them to those who watch, and serves one call after the other.
+// directory is discovery: it hears of changes late and tells them to those who watch. Where it is asked it serves one call after
+// the other; where it pushes, each router has an agent that is sent what is new.
 type directory struct {
-	f       *Fleet
-	entries []balance.Entry
-	index   map[string]int
-	changed []int // the version in which each entry changed last
-	version int
-	free    time.Duration // it is busy until then
-	down    time.Duration // and answers nobody until then
-	calls   uint64
+	*model.Registry
+	f     *Fleet
+	free  time.Duration // it is busy until then
+	down  time.Duration // and answers nobody until then
+	calls uint64
 }
 
 func newDirectory(f *Fleet) *directory {
-	d := &directory{f: f, index: map[string]int{}, version: 1}
-	for _, m := range f.world.Machines {
-		d.index[m.ID] = len(d.entries)
-		d.entries = append(d.entries, balance.Entry{Node: m.ID, Zone: m.Zone, Group: m.Bank.ID, State: balance.Ready, Primary: m.Primary()})
-		d.changed = append(d.changed, 1)
-	}
-	f.world.Watch(d.hears)
-	return d
-}
-
-// hears notes a change, and tells it after a while.
-func (d *directory) hears(m *model.Machine) {
-	wait := d.f.span(d.f.cfg.Notice)
-	if m.State() == model.Hung || m.State() == model.Down && !m.Draining() && !m.Gone() {
-		wait = d.f.span(d.f.cfg.Silent)
-	}
-	d.f.clock.After(wait, func() {
-		i := d.index[m.ID]
-		e := d.entries[i]
-		switch {
-		case m.Gone() || m.State() != model.Up:
-			e.State = balance.Gone
-		case m.Draining():
-			e.State = balance.Draining
-		default:
-			e.State = balance.Ready
-		}
-		if m.UpAt() > 0 {
-			e.ReadyAt = m.UpAt()
-		}
-		if e.State != balance.Ready {
-			e.Primary = false
-		}
-		if e == d.entries[i] {
-			return
-		}
-		d.entries[i] = e
-		d.version++
-		d.changed[i] = d.version
-		for _, r := range d.f.routers {
-			if r.alive {
+	d := &directory{f: f}
+	d.Registry = model.NewRegistry(f.world, model.Notices{Change: f.cfg.Notice, Silent: f.cfg.Silent, Role: f.cfg.RoleLag}, f.span, func(i int) {
+		e := entry(d.Entries[i])
+		for _, r := range f.routers {
+			switch {
+			case f.cfg.Pushed:
+				r.agent.push()
+			case r.alive:
 				r.watch.news(e)
 			}
 		}
 	})
+	return d
+}
+
+// entry is a listing as routers read it.
+func entry(l model.Listing) balance.Entry {
+	states := map[model.ListedAs]balance.State{model.ListedGone: balance.Gone, model.ListedReady: balance.Ready, model.ListedDraining: balance.Draining}
+	return balance.Entry{Node: l.Machine.ID, Zone: l.Machine.Zone, Group: l.Machine.Bank.ID, State: states[l.State], Primary: l.Primary, ReadyAt: l.UpAt}
 }
 
 func (d *directory) list(kind balance.ListKind) balance.List {
-	return balance.List{Kind: kind, Entries: append([]balance.Entry(nil), d.entries...)}
+	l := d.since(0)
+	l.Kind = kind
+	return l
 }
 
 // since is what has changed behind a version.
-func (d *directory) since(version int) (l balance.List) {
-	for i, e := range d.entries {
-		if d.changed[i] > version {
-			l.Entries = append(l.Entries, e)
-		}
-	}
+func (d *directory) since(version int64) (l balance.List) {
+	d.Since(version, func(e model.Listing) { l.Entries = append(l.Entries, entry(e)) })
 	return l
 }
 
+// agent is on a router's own machine; discovery pushes lists to it. What it has counts as told to the router.
+type agent struct {
+	r       *instance
+	entries []balance.Entry // as it was sent last
+	version int64
+	waits   bool // something is on its way, or waits until discovery can reach it
+}
+
+// push sends it what is new, once discovery is there and the way open.
+func (a *agent) push() {
+	if a.waits {
+		return
+	}
+	a.waits = true
+	f := a.r.f
+	f.clock.After(f.jitter(f.cfg.Cross), a.arrive)
+}
+
+func (a *agent) arrive() {
+	const again = 50 * time.Millisecond
+	f, d := a.r.f, a.r.f.directory
+	if a.r.watch.cut() || f.clock.Now() < d.down {
+		f.clock.After(again, a.arrive)
+		return
+	}
+	a.waits = false
+	a.entries, a.version = d.list(balance.ListFull).Entries, d.Version
+	if r := a.r; r.alive {
+		r.told(balance.List{Entries: a.entries})
+		r.watch.pushed()
+	}
+}
+
 // watcher is a router's side of it: one call is out at a time.
 type watcher struct {
 	r       *instance
 	out     bool
 	follows bool
-	have    int
+	have    int64
 	began   time.Duration // when the watch that is out was asked for
 	lost    bool          // what it had to tell did not arrive
 }
@@ -98,6 +101,30 @@
 // cut says whether messages between the router and discovery get lost.
 func (w *watcher) cut() bool { return w.r.f.cuts[w.r.zone+">discovery"] }
 
+// follow starts a watch that goes on by itself, at the agent.
+func (w *watcher) follow() {
+	r := w.r
+	if r.f.clock.Now() < r.f.directory.down { // it says nothing until discovery is back
+		r.later(r.f.directory.down-r.f.clock.Now(), w.follow)
+		return
+	}
+	w.follows = true
+	w.pushed()
+}
+
+// pushed brings the router what its agent has and it has not.
+func (w *watcher) pushed() {
+	r, a := w.r, w.r.agent
+	if !w.follows || w.have == a.version {
+		return
+	}
+	l := balance.List{Kind: balance.ListFull, Entries: a.entries}
+	w.have = a.version
+	r.told(l)
+	r.core.List(l)
+	r.turn()
+}
+
 func (w *watcher) track() {
 	if w.out || w.follows {
 		return
@@ -166,7 +193,7 @@
 			if w.follows {
 				l = d.since(w.have)
 			}
-			w.out, w.follows, w.have, w.began = false, true, d.version, r.f.clock.Now()
+			w.out, w.follows, w.have, w.began = false, true, d.Version, r.f.clock.Now()
 			r.told(l)
 			r.core.List(l)
 			r.turn()
@@ -186,10 +213,10 @@
 	b.Kill("test", 0)
 	for at := f.clock.Now(); (drain == 0 || silent == 0) && f.clock.Now() < at+time.Minute; {
 		f.clock.Run(f.clock.Now() + 10*time.Millisecond)
-		if drain == 0 && f.directory.entries[1].State == balance.Draining {
+		if drain == 0 && f.directory.Entries[1].State == model.ListedDraining {
 			drain = f.clock.Now() - at
 		}
-		if silent == 0 && f.directory.entries[2].State == balance.Gone {
+		if silent == 0 && f.directory.Entries[2].State == model.ListedGone {
 			silent = f.clock.Now() - at
 		}
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -48,6 +48,7 @@
 type session struct {
 	wrote time.Duration // the position of its newest write, 0 = none
 	bank  int
+	home  int // the router that it keeps to, -1 = it roams
 }
 
 // Run plays a fleet from a seed.
@@ -91,7 +92,10 @@
 	f.offered = cfg.Rate()
 	f.sessions = make([]session, max(1, cfg.Sessions))
 	for i := range f.sessions {
-		f.sessions[i].bank = f.rng.IntN(cfg.Banks)
+		f.sessions[i].bank, f.sessions[i].home = f.rng.IntN(cfg.Banks), -1
+		if cfg.Roam < 1 && f.rng.Float64() >= cfg.Roam {
+			f.sessions[i].home = f.rng.IntN(cfg.Routers)
+		}
 	}
 	f.directory = newDirectory(f)
 	f.observe()
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -121,9 +121,9 @@
 	for range 2 {
 		rt.Start(router.Attempt{Node: m.ID, Job: twice}, func(router.Result) {})
 	}
-	f.ran(write, m, f.clock.Now())
-	f.ran(read, m, f.clock.Now()-1)
-	p.out, p.outAt = true, f.clock.Now()-grace-1
+	f.ran(write, m, f.clock.Now(), 0)
+	f.ran(read, m, f.clock.Now()-1, read.see)
+	p.out, p.outAt = true, f.clock.Now()-f.cfg.Grace-1
 	f.seen(rt, read, p)
 	read.answered()
 	read.answered()
@@ -260,3 +260,75 @@
 		}
 	}
 }
+
+// second is a fleet of the other kind: lists are pushed, drains bind soon, roles come late, some sessions keep to a router.
+func second(faults ...Fault) Config {
+	c := shortly(faults...)
+	c.Pushed, c.Grace, c.Roam, c.Zones = true, 500*time.Millisecond, 0.5, []string{"n", "s"}
+	c.RoleLag, c.Notice = [2]time.Duration{1200 * time.Millisecond, 4100 * time.Millisecond}, [2]time.Duration{time.Second, 2 * time.Second}
+	return c
+}
+
+// Where lists are pushed drains are told and kept, whether an agent can be reached or says nothing for a while, and in a router
+// that starts meanwhile.
+func TestPushedLists(t *testing.T) {
+	drain := Fault{At: 4 * time.Second, What: "drain", Who: []string{"db1b", "db2c"}, For: 12 * time.Second}
+	for name, cfg := range map[string]Config{
+		"told":    second(drain),
+		"silent":  second(drain, Fault{At: 3 * time.Second, What: "discovery", For: 6 * time.Second}),
+		"cut":     second(drain, Fault{At: 3 * time.Second, What: "cut", Who: []string{"n>discovery"}, For: 5 * time.Second}),
+		"restart": second(drain, Fault{At: 3 * time.Second, What: "discovery", For: 6 * time.Second}, Fault{At: 5 * time.Second, What: "routers", Part: 0.5, For: time.Second}),
+		"centre":  second(Fault{At: 4 * time.Second, What: "kill", Who: []string{"zone:n"}, For: 6 * time.Second}, Fault{At: 4 * time.Second, What: "routers", Part: 0.5, For: 6 * time.Second}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				f, err := build(cfg, seed)
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.await(cfg.Faults)
+				f.arrive()
+				knew := 0
+				f.clock.Run(start + 12*time.Second)
+				for _, r := range f.routers {
+					if p := r.peers["db1b"]; p != nil && p.out {
+						knew++
+					}
+				}
+				f.clock.Run(start + cfg.Length)
+				f.obs.closed = true
+				f.clock.Run(start + cfg.Length + 2*f.longest)
+				if res := f.result(); len(res.Rules) > 0 || res.Whole < 0.5 {
+					t.Errorf("seed %d: whole %.2f %v", seed, res.Whole, res.Words)
+				}
+				if name != "centre" && knew != len(f.routers) {
+					t.Errorf("seed %d: %d of %d routers know of the drain", seed, knew, len(f.routers))
+				}
+			}
+		})
+	}
+}
+
+// Sessions that do not roam keep to their router while it lives.
+func TestSessionsKeepToARouter(t *testing.T) {
+	cfg := second()
+	cfg.Roam = 0
+	f, err := build(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range f.sessions {
+		if h := f.sessions[i].home; h < 0 || h >= cfg.Routers {
+			t.Fatalf("session %d is at home at %d", i, h)
+		}
+	}
+	f.arrive()
+	for range 50 {
+		f.clock.Run(f.clock.Now() + 100*time.Millisecond)
+		for _, q := range f.obs.asked {
+			if q.at != nil && q.at.number != q.session.home {
+				t.Fatalf("request %d of a session at home at %d is at %d", q.id, q.session.home, q.at.number)
+			}
+		}
+	}
+}
--- a/internal/lab/fleet/observe.go
+++ b/internal/lab/fleet/observe.go
@@ -28,9 +28,6 @@
 // Endings names them.
 var Endings = []string{"served", "refused", "failed", "expired", "left"}
 
-// grace is how long behind news of a drain something may still be sent.
-const grace = 2 * time.Second
-
 // sampleStep is how often the fleet is looked at, window how long the worst time is.
 const (
 	sampleStep = 500 * time.Millisecond
@@ -190,18 +187,18 @@
 	if q.out > 0 && q.class.Effect != balance.Safe {
 		f.obs.fault("copies", "request %d is written to %s while a copy is out", q.id, p.m.ID)
 	}
-	if p.out && f.clock.Now() > p.outAt+grace {
+	if p.out && f.clock.Now() > p.outAt+f.cfg.Grace {
 		f.obs.fault("drain", "%v writes to %s, which it knows to be out for %v", r, p.m.ID, f.clock.Now()-p.outAt)
 	}
 }
 
 // ran checks what a machine has run.
-func (o *observer) ran(q *request, m *model.Machine, pos time.Duration) {
+func (o *observer) ran(q *request, m *model.Machine, pos, see time.Duration) {
 	if q.runs > 1 && q.class.Effect == balance.Unsafe {
 		o.fault("twice", "request %d ran %d times", q.id, q.runs)
 	}
-	if see := q.see; see > pos {
-		o.fault("stale", "request %d was answered by %s from %v before what it has to see", q.id, m.ID, see-pos)
+	if see > pos {
+		o.fault("stale", "request %d of %s was answered by %s from %v before what it has to see", q.id, q.class.Name, m.ID, see-pos)
 	}
 }
 
--- a/internal/lab/fleet/router.go
+++ b/internal/lab/fleet/router.go
@@ -29,6 +29,7 @@
 	turning bool
 	again   bool
 	watch   watcher
+	agent   *agent // where lists are pushed
 }
 
 // peer is what a router has of one machine.
@@ -39,6 +40,7 @@
 	out     bool          // the list says that it drains or is gone,
 	outAt   time.Duration // and was here then
 	probing bool
+	replica bool // its newest answer to this router came from a replica
 }
 
 type conn struct {
@@ -47,7 +49,9 @@
 }
 
 func (f *Fleet) instance(i int) *instance {
-	return &instance{f: f, number: i, zone: f.cfg.Zones[i%len(f.cfg.Zones)]}
+	r := &instance{f: f, number: i, zone: f.cfg.Zones[i%len(f.cfg.Zones)]}
+	r.agent = &agent{r: r, entries: f.directory.list(balance.ListFull).Entries, version: f.directory.Version}
+	return r
 }
 
 // start runs it anew, with nothing but the list as it was when discovery told it last.
@@ -81,6 +85,9 @@
 	l := f.directory.list(balance.ListCached)
 	r.told(l)
 	core.List(l)
+	if f.cfg.Pushed {
+		r.watch.follow()
+	}
 	r.turn()
 	return nil
 }
@@ -264,11 +271,22 @@
 	c.written = true
 	r.f.seen(r, c.q, c.p)
 	life, q := r.life, c.q
-	c.work = &model.Work{Need: q.need, Write: q.class.Need == balance.NeedUpdate, Long: q.class.Long, See: q.see, Until: q.until}
+	see := q.see
+	if q.class.Need == balance.NeedBounded {
+		see = now - q.class.Bound // from when it is sent: each attempt has one of its own
+	}
+	must := see
+	if m.Led() && !c.p.replica {
+		must = 0 // the contract lets it pass: no answer has told this router that it leads no more
+	}
+	c.work = &model.Work{Need: q.need, Write: q.class.Need == balance.NeedUpdate, Long: q.class.Long, Until: q.until}
+	if r.f.cfg.Checks != balance.ChecksNone {
+		c.work.See = see
+	}
 	c.work.Done = func(o model.Outcome, pos time.Duration, primary bool) {
 		c.q.out--
 		if o == model.Served {
-			r.f.ran(q, m, pos)
+			r.f.ran(q, m, pos, must)
 		}
 		r.f.clock.After(r.way(m), func() {
 			if r.f.cut(r, m) || r.life != life {
@@ -315,6 +333,7 @@
 		res.Status = balance.Error
 	}
 	if o != model.Broke {
+		c.p.replica = !primary
 		c.p.idle = append(c.p.idle, conn{c.conn.epoch, c.r.f.clock.Now()})
 	}
 	c.end(res)
--- a/internal/lab/model/bank.go
+++ b/internal/lab/model/bank.go
@@ -227,7 +227,7 @@
 	// What it has not got is lost, or is with one that comes back: it is not applied any more.
 	best.replica.busy.Stop()
 	best.replica.busy, best.replica.next, best.replica.stalled, best.replica.missing = nil, b.committed(), 0, false
-	b.Primary, b.electing, b.standing = best, false, 0
+	b.Primary, b.electing, b.standing, best.led = best, false, 0, true
 	b.changes++
 	now := b.world.Clock.Now()
 	for _, m := range b.Members {
--- a/internal/lab/model/machine.go
+++ b/internal/lab/model/machine.go
@@ -33,6 +33,7 @@
 	warmW float64 // work done since then
 	drain bool
 	gone  bool
+	led   bool // it is or was its bank's primary
 	// cause says why it went down, for those who look on.
 	cause string
 
@@ -63,7 +64,7 @@
 	w.Machines = append(w.Machines, m)
 	b.Members = append(b.Members, m)
 	if b.Primary == nil {
-		b.Primary = m
+		b.Primary, m.led = m, true
 	}
 	return m
 }
@@ -73,6 +74,7 @@
 func (m *Machine) Cold() bool          { return m.cold }
 func (m *Machine) Draining() bool      { return m.drain }
 func (m *Machine) Gone() bool          { return m.gone }
+func (m *Machine) Led() bool           { return m.led }
 func (m *Machine) Cause() string       { return m.cause }
 func (m *Machine) Running() int        { return len(m.running) }
 func (m *Machine) Waiting() int        { return len(m.waiting) }
@@ -380,6 +382,9 @@
 	}
 	m.move()
 	m.replica.known = m.Position() // it hears no more
+	if m.Primary() {               // and has all that it has committed: a position never goes back
+		m.replica.next, m.replica.have = m.Bank.committed(), m.Bank.committed()
+	}
 	m.state, m.cause = Down, cause
 	m.epoch++
 	m.conns, m.overFor, m.offered = 0, 0, [fallSpan]float64{}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -227,6 +227,25 @@
 	}
 }
 
+// checks reads what machines do with reads that they are too far behind for.
+func checks(to *balance.Checks) field {
+	return func(v starlark.Value) error {
+		var word string
+		if err := text(&word)(v); err != nil {
+			return err
+		}
+		switch word {
+		case "refuse":
+			*to = balance.ChecksRefuse
+		case "answer":
+			*to = balance.ChecksNone
+		default:
+			return fmt.Errorf("%s is neither refuse nor answer", word)
+		}
+		return nil
+	}
+}
+
 // set takes what a call names, and nothing else.
 func set(args starlark.Tuple, kw map[string]starlark.Value, fields map[string]field) error {
 	if len(args) > 0 {
@@ -255,6 +274,7 @@
 	c := &r.s.Config
 	return starlark.None, set(args, kw, map[string]field{"routers": whole(&c.Routers, 1, 2000), "banks": whole(&c.Banks, 1, 5000), "members": whole(&c.Members, 1, 50),
 		"zones": texts(&c.Zones), "memory_mb": whole(&c.MemoryMB, 16, 1<<16), "sockets": whole(&c.Sockets, 128, 1<<20), "tries": whole(&c.MostTries, 0, 1000),
+		"grace_ms": span(&c.Grace, time.Millisecond), "come_back_s": span(&c.Comeback, time.Second), "checks": checks(&c.Checks),
 		"probe_price": float(&c.ProbePrice, 0, 1), "held_back": float(&c.HeldBack, 0, 1), "cancel": truth(&c.Cancel), "harm_cold_budget": truth(&c.HarmColdBudget),
 		"connect_ms": span(&c.ConnectWithin, time.Millisecond), "idle_s": span(&c.ConnIdle, time.Second)})
 }
@@ -278,13 +298,13 @@
 	c := &r.s.Config
 	return starlark.None, set(args, kw, map[string]field{"same_ms": span(&c.Same, time.Millisecond), "cross_ms": span(&c.Cross, time.Millisecond), "client_ms": span(&c.Client, time.Millisecond),
 		"jitter": float(&c.Jitter, 0, 10), "notice_s": spans(&c.Notice, time.Second), "silent_s": spans(&c.Silent, time.Second), "call_ms": span(&c.Call, time.Millisecond),
-		"call_within_s": span(&c.CallWithin, time.Second)})
+		"call_within_s": span(&c.CallWithin, time.Second), "pushed": truth(&c.Pushed), "role_lag_s": spans(&c.RoleLag, time.Second)})
 }
 
 func (r *reader) clients(_ *starlark.Thread, args starlark.Tuple, kw map[string]starlark.Value) (starlark.Value, error) {
 	c := &r.s.Config
 	return starlark.None, set(args, kw, map[string]field{"retries": whole(&c.Retries, 0, 1000), "honour": float(&c.Honour, 0, 1), "backoff_ms": span(&c.Backoff, time.Millisecond),
-		"leave": float(&c.Leave, 0, 1), "sessions": whole(&c.Sessions, 1, 1<<20)})
+		"leave": float(&c.Leave, 0, 1), "sessions": whole(&c.Sessions, 1, 1<<20), "roam": float(&c.Roam, 0, 1)})
 }
 
 func (r *reader) traffic(_ *starlark.Thread, args starlark.Tuple, kw map[string]starlark.Value) (starlark.Value, error) {
--- a/internal/lab/standins/directory.go
+++ b/internal/lab/standins/directory.go
@@ -12,16 +12,15 @@
 	"limeladder/internal/lab/model"
 )
 
-// directory is discovery over HTTP: whole lists, and watches from a version on.
+// directory is discovery over HTTP: whole lists, and watches from a version on. For one router it is the same as an agent that lists
+// are pushed to, but for the silence while discovery is down.
 type directory struct {
-	h       *Host
-	addr    string
-	server  *http.Server
-	entries []config.Entry
-	changed []int64
-	version int64
-	news    chan struct{} // closed at the next change
-	down    time.Duration
+	*model.Registry
+	h      *Host
+	addr   string
+	server *http.Server
+	news   chan struct{} // closed at the next change
+	down   time.Duration
 }
 
 func (h *Host) direct() error {
@@ -29,14 +28,15 @@
 	if err != nil {
 		return fmt.Errorf("standins: %w", err)
 	}
-	d := &directory{h: h, addr: ln.Addr().String(), version: 1, news: make(chan struct{})}
-	for _, s := range h.servers {
-		e := config.Entry{ID: s.m.ID, Addr: s.addr, Zone: s.m.Zone, Cell: s.m.Bank.ID, State: "ready", Weight: 1}
-		if s.m.Primary() {
-			e.Mode = "read-write"
-		}
-		d.entries, d.changed = append(d.entries, e), append(d.changed, 1)
-	}
+	d := &directory{h: h, addr: ln.Addr().String(), news: make(chan struct{})}
+	d.Registry = model.NewRegistry(h.world, model.Notices{Change: h.cfg.Notice, Silent: h.cfg.Silent, Role: h.cfg.RoleLag},
+		func(r [2]time.Duration) time.Duration {
+			return r[0] + time.Duration(h.rng.Float64()*float64(r[1]-r[0]))
+		},
+		func(int) {
+			close(d.news)
+			d.news = make(chan struct{})
+		})
 	d.server = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
 	h.list = d
 	go d.server.Serve(ln)
@@ -45,44 +45,22 @@
 
 func (d *directory) close() { d.server.Close() }
 
-func (d *directory) whole() config.List {
-	return config.List{Version: d.version, Full: true, Servers: append([]config.Entry(nil), d.entries...)}
-}
-
-// hears notes a change, and tells it after a while.
-func (d *directory) hears(m *model.Machine) {
-	span := d.h.cfg.Notice
-	if m.State() == model.Hung || m.State() == model.Down && !m.Draining() && !m.Gone() {
-		span = d.h.cfg.Silent
-	}
-	wait := span[0] + time.Duration(d.h.rng.Float64()*float64(span[1]-span[0]))
-	d.h.clock.After(wait, func() {
-		for i, e := range d.entries {
-			if e.ID != m.ID {
-				continue
-			}
-			switch {
-			case m.Gone() || m.State() != model.Up:
-				e.State = "gone"
-			case m.Draining():
-				e.State = "draining"
-			default:
-				e.State = "ready"
-			}
-			if m.UpAt() > 0 {
-				e.StartedMs = m.UpAt().Milliseconds()
-			}
-			if e.State != "ready" {
-				e.Mode = ""
-			}
-			if e != d.entries[i] {
-				d.version++
-				d.entries[i], d.changed[i] = e, d.version
-				close(d.news)
-				d.news = make(chan struct{})
+// since is what has changed behind a version, all of it behind 0.
+func (d *directory) since(version int64) config.List {
+	l := config.List{Version: d.Version, Full: version == 0, Servers: []config.Entry{}}
+	d.Since(version, func(x model.Listing) {
+		e := config.Entry{ID: x.Machine.ID, Zone: x.Machine.Zone, Cell: x.Machine.Bank.ID, State: x.State.String(), Weight: 1, StartedMs: x.UpAt.Milliseconds(), Mode: "read-only"}
+		if x.Primary {
+			e.Mode = "read-write"
+		}
+		for _, s := range d.h.servers {
+			if s.m == x.Machine {
+				e.Addr = s.addr
 			}
 		}
+		l.Servers = append(l.Servers, e)
 	})
+	return l
 }
 
 // ServeHTTP answers GET /v1/endpoints, with index=VERSION&wait=MS once there is something newer.
@@ -110,13 +88,8 @@
 		var down time.Duration
 		d.h.with(func() {
 			news, down = d.news, d.down-d.h.clock.Now()
-			if l = d.whole(); watch {
-				l.Full, l.Servers = false, l.Servers[:0]
-				for i, e := range d.entries {
-					if d.changed[i] > index {
-						l.Servers = append(l.Servers, e)
-					}
-				}
+			if l = d.since(index); watch {
+				l.Full = false
 			}
 		})
 		if down > 0 { // it says nothing until it is back
--- a/internal/lab/standins/host.go
+++ b/internal/lab/standins/host.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"limeladder/balance"
 	"limeladder/internal/config"
 	"limeladder/internal/lab/event"
 	"limeladder/internal/lab/fleet"
@@ -169,7 +170,6 @@
 
 // changed follows a machine's state: one that is down has no listener and no connections.
 func (h *Host) changed(m *model.Machine) {
-	h.list.hears(m)
 	for _, s := range h.servers {
 		if s.m != m {
 			continue
@@ -207,16 +207,23 @@
 	}
 	type object map[string]any
 	var list config.List
-	h.with(func() { list = h.list.whole() })
+	h.with(func() { list = h.list.since(0) })
+	discovery, guards := "ask", "reject"
+	if c.Pushed {
+		discovery = "push"
+	}
+	if c.Checks == balance.ChecksNone {
+		guards = "silent"
+	}
 	return json.MarshalIndent(object{
 		"name": name, "listen": listen, "operator": operator, "discovery": h.Discovery(), "seed": fmt.Sprint(seed), "known": list,
 		"limits": object{"cores": 1, "memory_mb": c.MemoryMB, "sockets": c.Sockets},
-		"settings": object{"Instances": c.Routers, "Locality": c.Zones[0], "Discovery": "ask", "ResolutionNs": 5_000_000, "Lanes": lanes,
-			"Extra": object{"Guards": "reject", "TokenMode": "client", "NeedsByClass": words, "LagAllowedNs": bounds, "OriginTimeNs": 1},
-			"Limits": object{"Cancelling": c.Cancel, "Probes": true, "RetryAfter": true, "MaxRetryAfterNs": 2_000_000_000, "ConnIdleNs": int64(c.ConnIdle),
+		"settings": object{"Instances": c.Routers, "Locality": c.Zones[0], "Discovery": discovery, "ResolutionNs": 5_000_000, "Lanes": lanes,
+			"Extra": object{"Guards": guards, "TokenMode": "client", "NeedsByClass": words, "LagAllowedNs": bounds, "OriginTimeNs": 1},
+			"Limits": object{"Cancelling": c.Cancel, "Probes": true, "RetryAfter": true, "MaxRetryAfterNs": int64(c.Comeback), "ConnIdleNs": int64(c.ConnIdle),
 				"ConnectTimeoutNs": int64(c.ConnectWithin), "MostTries": c.MostTries},
 			"Prices": object{"Probe": c.ProbePrice},
-			"Contract": object{"AskWithinNs": 5_000_000_000, "ColdNs": int64(c.Kind.ColdFor), "FallNs": int64(c.Kind.FallFor), "ColdFrom": c.Kind.ColdFrom,
+			"Contract": object{"AskWithinNs": 5_000_000_000, "DrainGraceNs": int64(c.Grace), "ColdNs": int64(c.Kind.ColdFor), "FallNs": int64(c.Kind.FallFor), "ColdFrom": c.Kind.ColdFrom,
 				"FallMultiple": c.Kind.FallMultiple}},
 	}, "", " ")
 }
--- a/internal/lab/standins/host_test.go
+++ b/internal/lab/standins/host_test.go
@@ -143,7 +143,7 @@
 		return l, a.StatusCode
 	}
 	l, _ := get("")
-	if !l.Full || len(l.Servers) != 3 || l.Servers[0].Mode != "read-write" || l.Servers[1].Mode != "" {
+	if !l.Full || len(l.Servers) != 3 || l.Servers[0].Mode != "read-write" || l.Servers[1].Mode != "read-only" {
 		t.Fatalf("%+v", l)
 	}
 	if same, _ := get("?index=1&wait=50"); same.Version != 1 || len(same.Servers) != 0 {
--- a/internal/lab/standins/session.go
+++ b/internal/lab/standins/session.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"limeladder/balance"
 	"limeladder/internal/lab/fleet"
 	"limeladder/internal/lab/model"
 	"limeladder/internal/pgwire"
@@ -242,10 +243,16 @@
 				k = &h.cfg.Classes[i]
 			}
 		}
-		w := &model.Work{Need: max(time.Microsecond, h.need(sql, k)), See: head.After, Until: h.clock.Now() + head.Deadline}
+		w := &model.Work{Need: max(time.Microsecond, h.need(sql, k)), Until: h.clock.Now() + head.Deadline}
 		if k != nil {
 			w.Write, w.Long = fleet.Update(k), k.Long
 		}
+		if h.cfg.Checks != balance.ChecksNone {
+			w.See = head.After
+			if k != nil && k.Need == balance.NeedBounded {
+				w.See = h.clock.Now() - k.Bound
+			}
+		}
 		w.Done = func(o model.Outcome, pos time.Duration, _ bool) {
 			x.work = nil
 			ch <- end{o, pos}
