Classes worth nothing are sent in a large fleet; settings at their extremes are played

The reserve of credit divides a request's rank by the best one (balance.go, afford), 0 by 0, and nothing is as much as that.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"reflect"
@@ -499,9 +500,11 @@
 }
 
 // play feeds odd but legal events and checks what must hold whatever comes. It models no member: outcomes are drawn.
-func play(t *testing.T, seed uint64) []Action {
+func play(t *testing.T, seed uint64) []Action { return playWith(t, seed, base()) }
+
+func playWith(t *testing.T, seed uint64, c Config) []Action {
+	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
-	c := base()
 	c.Checks = Checks(rng.IntN(3))
 	c.ClientTokens = rng.IntN(2) == 0
 	r, err := New(c, seed)
@@ -611,12 +614,24 @@
 				}
 				open = append(open, try{a.ID, a.Node, q.legs, now})
 				q.out++
-				q.legs++
+				if q.legs++; c.MostTries > 0 && q.legs > c.MostTries {
+					t.Fatalf("seed %d: attempt %d of %s", seed, q.legs, a.ID)
+				}
+			case Track:
+				if !c.Ask {
+					t.Fatalf("seed %d: the list is asked for where it is pushed", seed)
+				}
 			case Probe:
+				if !c.Probes {
+					t.Fatalf("seed %d: a probe where there are none", seed)
+				}
 				if suspended[a.Node] && since[a.Node] < i { // one may be asked for by an event before, in the same step
 					t.Fatalf("seed %d: probe of %s, which is suspended", seed, a.Node)
 				}
 			case Cancel:
+				if !c.Cancel {
+					t.Fatalf("seed %d: a cancel where there are none", seed)
+				}
 				if q := reqs[a.ID]; q.begun && a.Attempt == q.legs-1 {
 					t.Fatalf("seed %d: the answer to %s is cut off", seed, a.ID)
 				}
@@ -650,6 +665,65 @@
 	f.Fuzz(func(t *testing.T, seed uint64) { play(t, seed) })
 }
 
+// Settings at their extremes, alone and together, keep what must hold whatever comes.
+func TestExtremeSettings(t *testing.T) {
+	extremes := map[string]func(c *Config){
+		"one attempt":           func(c *Config) { c.MostTries = 1 },
+		"any number":            func(c *Config) { c.MostTries = 0 },
+		"no probes":             func(c *Config) { c.Probes = false },
+		"dear probes":           func(c *Config) { c.ProbePrice = 10 },
+		"no cancelling":         func(c *Config) { c.Cancel = false },
+		"no time to come again": func(c *Config) { c.RetryAfter, c.MaxRetryAfter = false, 0 },
+		"no grace":              func(c *Config) { c.DrainGrace = 0 },
+		"asked, no grace":       func(c *Config) { c.Ask, c.DrainGrace, c.AskWithin = true, 0, time.Second },
+		"never cold":            func(c *Config) { c.ColdFrom, c.ColdFor, c.FallMultiple = 1, 0, 0 },
+		"cold from nothing":     func(c *Config) { c.ColdFrom = 0 },
+		"no zone":               func(c *Config) { c.Zone = "" },
+		"300 routers":           func(c *Config) { c.Instances = 300 },
+		"soft removal":          func(c *Config) { c.SoftRemoval = true },
+		"no resolution":         func(c *Config) { c.Resolution = 0 },
+		"nothing when late": func(c *Config) {
+			for i := range c.Classes {
+				c.Classes[i].LateShare = 0
+			}
+		},
+		"no worth": func(c *Config) {
+			for i := range c.Classes {
+				c.Classes[i].Worth = 0
+			}
+		},
+		"no aim": func(c *Config) {
+			for i := range c.Classes {
+				c.Classes[i].Aim = 0
+			}
+		},
+	}
+	all := func(c *Config, rng *rand.Rand) {
+		for _, name := range slices.Sorted(maps.Keys(extremes)) {
+			if rng.IntN(3) == 0 && name != "soft removal" { // where removal is soft other sends are allowed
+				extremes[name](c)
+			}
+		}
+	}
+	for name, set := range extremes {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				c := base()
+				if set(&c); !c.SoftRemoval {
+					playWith(t, seed, c)
+				} else if _, err := New(c, seed); err != nil {
+					t.Fatal(err)
+				}
+			}
+		})
+	}
+	for seed := range uint64(100) {
+		c := base()
+		all(&c, rand.New(rand.NewPCG(seed, 9)))
+		playWith(t, seed, c)
+	}
+}
+
 func TestSameEventsSameActions(t *testing.T) {
 	for seed := range uint64(10) {
 		if !reflect.DeepEqual(play(t, seed), play(t, seed)) {
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -427,3 +427,23 @@
 		}
 	}
 }
+
+// Classes that are worth nothing are served too: a share of nothing is not taken for more than there is.
+func TestWorthlessRequestsAreSent(t *testing.T) {
+	c := base()
+	c.Instances = 300
+	for i := range c.Classes {
+		c.Classes[i].Worth = 0
+	}
+	h := ready(t, c)
+	sent := 0
+	for range 40 {
+		for _, s := range pick[Send](h.step(500*ms, h.request("any"))) {
+			sent++
+			h.step(0, Outcome{ID: s.ID, Node: s.Node, Status: Done, Took: ms, Finished: true, Role: RoleReplica, Position: h.now})
+		}
+	}
+	if sent < 20 {
+		t.Fatalf("%d of 40 sent", sent)
+	}
+}
