Refusals without a time of their own name no longer one than clients heed

Cause: ComeAgain stood at 1 s, whatever MaxRetryAfterNs says (limits.go); it fitted both deployments, 1 and 2 s, by luck. It is now the lesser of the two. Test: TestComeAgainIsNoLongerThanClientsHeed, 300 ms.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -74,6 +74,9 @@
 	if !cfg.Balance.Ask {
 		d.lim = d.lim.Pushed(cfg.Balance.DrainGrace)
 	}
+	if most := cfg.Balance.MaxRetryAfter; most > 0 {
+		d.lim.ComeAgain = min(d.lim.ComeAgain, most) // clients heed nothing longer
+	}
 	if dep.Extended.Listen != "" {
 		d.lim.Clients /= 2 // both fronts share the descriptors
 	}
--- a/cmd/limeladder/deployment_test.go
+++ b/cmd/limeladder/deployment_test.go
@@ -277,3 +277,15 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// A refusal for which nothing else says when to come back names no longer time than clients heed.
+func TestComeAgainIsNoLongerThanClientsHeed(t *testing.T) {
+	_, list, agent := bank(t, nil)
+	for most, want := range map[time.Duration]time.Duration{0: time.Second, 300 * time.Millisecond: 300 * time.Millisecond, 2 * time.Second: time.Second} {
+		cfg := pushed(t, agent, list...)
+		cfg.Balance.MaxRetryAfter = most
+		if got := serve(t, cfg).lim.ComeAgain; got != want {
+			t.Errorf("clients heed %v: it says %v", most, got)
+		}
+	}
+}
