The rig: several real processes, faults of processes and ways between them, and checkers

limelab rig starts up to 12 routers with db machines, discovery and clients in named sites. All that goes between them passes relays on loopback, so that cuts one way or both, delay, a trickle, resets and connections that are lost are steps of a Starlark script, as are SIGKILL, SIGTERM, SIGSTOP and restarts. Driver, recorder and checker are packages apart (docs/design/rig.md); a run leaves one timeline of history, rules and all logs.

The socket skin's machines now notice a connection that is closed while a statement runs; before, its end was seen behind the answer, so that a statement given up went on.

--- a/cmd/limelab/main.go
+++ b/cmd/limelab/main.go
@@ -26,6 +26,7 @@
 	Demo    demoCommand    `cmd:"" help:"Play a failover under load before the real program, and write a report."`
 	Load    loadCommand    `cmd:"" help:"Ask a server on loopback that speaks PostgreSQL for work, in an open loop."`
 	Skins   skinsCommand   `cmd:"" help:"Play scenarios in process and on sockets, and say how far apart they are."`
+	Rig     rigCommand     `cmd:"" help:"Play a scenario with several processes of the real program, with faults between them."`
 	Check   checkCommand   `cmd:"" help:"Hold the emulator against closed forms and the account's figures."`
 }
 
--- a/internal/lab/fleet/config.go
+++ b/internal/lab/fleet/config.go
@@ -92,10 +92,16 @@
 	Who  []string // machines; what names a bank's primary or all of a zone is resolved when it is due
 	For  time.Duration
 	Part float64
+
+	Delay, Jitter time.Duration // of a way
+	Rate          int           // bytes a second of a way
 }
 
-// The kinds of faults.
-var Faults = []string{"kill", "hang", "drain", "slow", "sick", "remove", "cut", "discovery", "routers", "suspend"}
+// The kinds of faults; those of processes and of ways on sockets can be played by a rig only.
+var (
+	Faults    = []string{"kill", "hang", "drain", "slow", "sick", "remove", "cut", "discovery", "routers", "suspend"}
+	RigFaults = []string{"crash", "freeze", "term", "delay", "trickle", "reset", "lose"}
+)
 
 // Default is brisbane-signing: three routers before banks of three, in its figures.
 func Default() Config {
@@ -160,7 +166,7 @@
 	}
 	for _, f := range c.Faults {
 		known := false
-		for _, w := range Faults {
+		for _, w := range append(RigFaults, Faults...) {
 			known = known || w == f.What
 		}
 		if !known {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -53,6 +53,11 @@
 
 // Run plays a fleet from a seed.
 func Run(cfg Config, seed uint64) (*Result, error) {
+	for _, x := range cfg.Faults {
+		if slices.Contains(RigFaults, x.What) {
+			return nil, fmt.Errorf("faults: %s needs processes: limelab rig", x.What)
+		}
+	}
 	f, err := build(cfg, seed)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/lab/rig/rig.go
@@ -0,0 +1,479 @@
+// Package rig plays a scenario with several real processes of the program: db machines, discovery and clients are the laboratory's, in
+// sites, and all that goes between them and the routers goes through relays, so that what befalls processes and ways is a step of a
+// script. It drives; what happened is in package history, what it means in package check.
+package rig
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"limeladder/internal/lab/fleet"
+	"limeladder/internal/lab/rig/check"
+	"limeladder/internal/lab/rig/clients"
+	"limeladder/internal/lab/rig/history"
+	"limeladder/internal/lab/rig/relay"
+	"limeladder/internal/lab/standins"
+)
+
+// The most that a rig starts.
+const (
+	mostRouters  = 12
+	mostMachines = 48
+)
+
+// discovery stands in no site.
+var discovery = relay.Point{Name: "discovery"}
+
+// Options say what is played, and with what.
+type Options struct {
+	Config  fleet.Config
+	Seed    uint64
+	Program string        // the router
+	Dir     string        // where files and logs go; it has to exist
+	Notice  time.Duration // until a front has noticed that a router has died
+
+	// Harm, where not nil, changes the configuration with which routers are started: for trying the rig itself.
+	Harm func(settings []byte) []byte
+}
+
+// Result is what a run has shown.
+type Result struct {
+	Worth, Whole, Window, Class float64
+	Worst                       string
+	Tally                       map[string]*fleet.Tally
+	Seconds                     []fleet.Second
+	Broken                      []check.Broken
+	History                     []history.Entry
+	Timeline                    string // its file
+}
+
+// Rig is what is running.
+type Rig struct {
+	o       Options
+	log     *history.Log
+	net     *relay.Net
+	host    *standins.Host
+	routers []*process
+	views   []*view
+	points  map[string]relay.Point
+	by      sync.Map // a machine's remote address: who dialled
+	begin   time.Time
+	steps   sync.WaitGroup
+	stop    chan struct{}
+}
+
+// dialler is who is at the other end of a machine's connection.
+type dialler struct {
+	router string
+	life   int
+	held   *relay.Held
+}
+
+// Run plays a scenario and checks it. An error means that it could not be played.
+func Run(o Options) (*Result, error) {
+	c := &o.Config
+	switch {
+	case c.Routers > mostRouters:
+		return nil, fmt.Errorf("routers: %d, a rig starts %d at most", c.Routers, mostRouters)
+	case c.Banks*c.Members > mostMachines:
+		return nil, fmt.Errorf("banks: %d machines, a rig starts %d at most", c.Banks*c.Members, mostMachines)
+	}
+	for _, f := range c.Faults {
+		if f.On != "" {
+			return nil, fmt.Errorf("faults: a rig goes by its clock: when(%q) can't be played", f.On)
+		}
+		if f.What == "suspend" || f.What == "routers" {
+			return nil, fmt.Errorf("faults: %s is not for a rig: crash, term and freeze name routers", f.What)
+		}
+	}
+	if o.Notice == 0 {
+		o.Notice = 2 * time.Second
+	}
+	r := &Rig{o: o, log: history.New(), net: relay.New(o.Seed), points: map[string]relay.Point{}, stop: make(chan struct{})}
+	defer r.end()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	return r.play()
+}
+
+// start builds the world and starts the routers, each once.
+func (r *Rig) start() error {
+	cfg := r.o.Config
+	cfg.Faults = nil // they come from here
+	var err error
+	if r.host, err = standins.New(cfg, r.o.Seed); err != nil {
+		return err
+	}
+	r.host.Observe(observer{r})
+	for i := range cfg.Routers {
+		name, site := fmt.Sprint("r", i+1), cfg.Zones[i%len(cfg.Zones)]
+		if err := r.router(i, name, site); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// router prepares one: its ways, its view of discovery, its files.
+func (r *Rig) router(i int, name, site string) error {
+	cfg := &r.o.Config
+	p := &process{Name: name, Site: site, dir: filepath.Join(r.o.Dir, name), program: r.o.Program, log: r.log}
+	me := relay.Point{Name: name, Site: site}
+	r.points[name] = me
+	if err := os.MkdirAll(p.dir, 0o700); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(p.dir, "limeladder.toml"), nil, 0o600); err != nil {
+		return err
+	}
+	ways := map[string]*relay.Link{}
+	for id, m := range r.host.Members() {
+		at := relay.Point{Name: id, Site: r.host.Zone(id)}
+		l, err := r.net.Link(me, at, func() string { return m }, relay.Watch{
+			Dialled: func(local string, held *relay.Held) { r.by.Store(local, dialler{name, p.Life(), held}) },
+			GivenUp: func(local string) { r.log.Add(history.GivenUp{Router: name, Member: id, Conn: local}) },
+		})
+		if err != nil {
+			return err
+		}
+		ways[id] = l
+	}
+	v := &view{host: r.host, net: r.net, log: r.log, router: p, pushed: cfg.Pushed, addr: func(id string) string {
+		if l := ways[id]; l != nil {
+			return l.Addr
+		}
+		return ""
+	}}
+	if err := v.start(); err != nil {
+		return err
+	}
+	r.views = append(r.views, v)
+	// An agent is on the router's own machine; this way then stands for discovery's to the agent.
+	way, err := r.net.Link(me, discovery, func() string { return v.listen }, relay.Watch{})
+	if err != nil {
+		return err
+	}
+	asks := way.Addr
+	if cfg.Pushed {
+		asks = v.listen
+	}
+	listen, operator, err := ports()
+	if err != nil {
+		return err
+	}
+	p.began = v.began
+	p.settings = func() ([]byte, error) {
+		text, err := r.host.SettingsFor(standins.Seat{Name: name, Listen: listen, Operator: operator, Zone: site, Discovery: asks, Known: v.known(),
+			Seed: r.o.Seed<<20 + uint64(i)<<8 + uint64(p.Life()+1)})
+		if err == nil && r.o.Harm != nil {
+			text = r.o.Harm(text)
+		}
+		return text, err
+	}
+	r.routers = append(r.routers, p)
+	r.points["listen:"+name] = relay.Point{Name: listen}
+	return p.start()
+}
+
+// ports are two on loopback that are free now.
+func ports() (a, b string, err error) {
+	var out [2]string
+	for i := range out {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", "", err
+		}
+		defer ln.Close()
+		out[i] = ln.Addr().String()
+	}
+	return out[0], out[1], nil
+}
+
+// doors are the ways of each site's clients to the routers of it, and to the others.
+func (r *Rig) doors() (own, others map[string][]clients.Door, err error) {
+	own, others = map[string][]clients.Door{}, map[string][]clients.Door{}
+	for _, site := range r.o.Config.Zones {
+		from := relay.Point{Name: "clients:" + site, Site: site}
+		for _, p := range r.routers {
+			l, err := r.net.Link(from, relay.Point{Name: p.Name, Site: p.Site}, func() string { return r.points["listen:"+p.Name].Name }, relay.Watch{})
+			if err != nil {
+				return nil, nil, err
+			}
+			d := clients.Door{Router: p.Name, Addr: l.Addr, Life: p.Life}
+			if p.Site == site {
+				own[site] = append(own[site], d)
+			} else {
+				others[site] = append(others[site], d)
+			}
+		}
+		if own[site] == nil {
+			own[site] = []clients.Door{}
+		}
+	}
+	return own, others, nil
+}
+
+// play lets clients ask and the steps come, and judges what happened.
+func (r *Rig) play() (*Result, error) {
+	cfg := &r.o.Config
+	own, others, err := r.doors()
+	if err != nil {
+		return nil, err
+	}
+	c := clients.New(clients.Options{Sites: own, Others: others, Rate: cfg.Rate(), Shape: cfg.Shape, Classes: cfg.Classes, Banks: cfg.Banks, Sessions: cfg.Sessions,
+		Retries: cfg.Retries, Honour: cfg.Honour, Backoff: cfg.Backoff, Notice: r.o.Notice, Seed: r.o.Seed}, r.log)
+	for end := time.Now().Add(30 * time.Second); c.Up() < cfg.Routers; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			return nil, fmt.Errorf("%d of %d routers are ready after 30 s; their logs are in %s", c.Up(), cfg.Routers, r.o.Dir)
+		}
+	}
+	for _, p := range r.routers {
+		r.log.Add(history.Process{Router: p.Name, Life: p.Life(), Ready: true})
+	}
+	r.begin = time.Now()
+	for _, f := range cfg.Faults {
+		r.later(f.At, func() { r.step(f) })
+	}
+	got := c.Run(cfg.Length)
+	close(r.stop)
+	r.steps.Wait()
+	for _, id := range r.host.Pushed() {
+		r.log.Add(history.Pushed{Member: id})
+	}
+	res := &Result{Tally: got.Tally, Seconds: got.Seconds, History: r.log.All()}
+	res.Whole, res.Window, res.Class, res.Worst = fleet.Score(got.Seconds, got.Tally)
+	res.Worth = 0.5*res.Whole + 0.3*res.Window + 0.2*res.Class
+	res.Broken = check.Run(check.Rules{Grace: cfg.Grace + 50*time.Millisecond, Late: lateness, Unarrived: 6 * time.Second}, res.History, check.All...)
+	if len(res.Broken) > 0 {
+		res.Worth = 0
+	}
+	return res, r.write(res)
+}
+
+// lateness is how much later than its time an answer may come: the contract's 50 ms, and what the rig itself may be late on a busy
+// machine.
+const lateness = 250 * time.Millisecond
+
+// later does something so long behind the start, unless the run is over.
+func (r *Rig) later(at time.Duration, do func()) {
+	r.steps.Add(1)
+	go func() {
+		defer r.steps.Done()
+		select {
+		case <-time.After(time.Until(r.begin.Add(at))):
+			do()
+		case <-r.stop:
+		}
+	}()
+}
+
+// step carries out a fault.
+func (r *Rig) step(f fleet.Fault) {
+	text := strings.TrimSpace(f.What + " " + strings.Join(f.Who, " "))
+	r.log.Add(history.Step{Text: text})
+	now := time.Since(r.begin)
+	switch f.What {
+	case "crash", "term", "freeze":
+		for _, p := range r.named(f.Who) {
+			r.steps.Add(1)
+			go func() {
+				defer r.steps.Done()
+				r.befall(p, f, now)
+			}()
+		}
+	case "cut", "delay", "trickle":
+		w := relay.Way{Cut: f.What == "cut", Delay: f.Delay, Jitter: f.Jitter, Rate: f.Rate}
+		for _, name := range f.Who {
+			from, to, both := ends(name)
+			r.trouble(from, to, both, text, f.For)
+			r.set(from, to, both, w)
+			r.later(now+f.For, func() {
+				r.set(from, to, both, relay.Way{})
+				r.log.Add(history.Step{Text: "end of " + text})
+			})
+		}
+	case "reset", "lose":
+		for _, name := range f.Who {
+			from, to, _ := ends(name)
+			r.trouble(from, to, true, text, r.longest())
+			if f.What == "reset" {
+				r.net.Reset(from, to)
+			} else {
+				r.net.Lose(from, to)
+			}
+		}
+	default:
+		r.host.Befall(f)
+	}
+}
+
+// longest is how long a request may be on its way.
+func (r *Rig) longest() (d time.Duration) {
+	for _, k := range r.o.Config.Classes {
+		d = max(d, k.GiveUp)
+	}
+	return d
+}
+
+func (r *Rig) set(from, to string, both bool, w relay.Way) {
+	r.net.Set(from, to, w)
+	if both {
+		r.net.Set(to, from, w)
+	}
+}
+
+// ends reads "a>b", or "a=b" for both ways.
+func ends(name string) (from, to string, both bool) {
+	from, to, ok := strings.Cut(name, ">")
+	if !ok {
+		from, to, _ = strings.Cut(name, "=")
+		both = true
+	}
+	return from, to, both
+}
+
+// trouble notes for the checks which routers' ways to clients something befalls: what they have taken may not be answered, and what
+// is asked may not come.
+func (r *Rig) trouble(from, to string, both bool, what string, length time.Duration) {
+	for _, p := range r.routers {
+		me := relay.Point{Name: p.Name, Site: p.Site}
+		for _, site := range r.o.Config.Zones {
+			c := relay.Point{Name: "clients:" + site, Site: site}
+			if c.Is(from) && me.Is(to) || me.Is(from) && c.Is(to) || both && (c.Is(to) && me.Is(from) || me.Is(to) && c.Is(from)) {
+				p.note("its way to "+c.Name+": "+what, length)
+				break
+			}
+		}
+	}
+}
+
+// named are routers by name, by site, or all.
+func (r *Rig) named(names []string) (out []*process) {
+	for _, p := range r.routers {
+		for _, name := range names {
+			if name == "*" || name == p.Name || name == "routers:"+p.Site {
+				out = append(out, p)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// befall does something to a router's process.
+func (r *Rig) befall(p *process, f fleet.Fault, now time.Duration) {
+	switch f.What {
+	case "freeze":
+		p.freeze(f.For)
+		return
+	case "crash":
+		p.crash()
+	case "term":
+		p.term(r.longest() + 700*time.Millisecond)
+	}
+	if f.For == 0 {
+		return
+	}
+	r.later(now+f.For, func() {
+		if !p.wait(20 * time.Second) {
+			return
+		}
+		if err := p.start(); err != nil {
+			r.log.Add(history.Step{Text: p.Name + " can't be started: " + err.Error()})
+		}
+	})
+}
+
+// end ends all that was started.
+func (r *Rig) end() {
+	for _, p := range r.routers {
+		p.end()
+	}
+	for _, v := range r.views {
+		v.close()
+	}
+	r.net.Close()
+	if r.host != nil {
+		r.host.Stop()
+	}
+}
+
+// observer notes what reaches the machines.
+type observer struct{ r *Rig }
+
+func (o observer) who(remote string) dialler {
+	if d, ok := o.r.by.Load(remote); ok {
+		return d.(dialler)
+	}
+	return dialler{router: "?", held: &relay.Held{}}
+}
+
+// Came implements standins.Observer.
+func (o observer) Came(v standins.Visit) {
+	d := o.who(v.Remote)
+	o.r.log.Add(history.Came{ID: v.ID, Conn: v.Remote, Class: v.Class, Router: d.router, Life: d.life, Member: v.Member, Held: d.held.For(), Write: v.Write, Led: v.Led, See: v.See})
+}
+
+// Ended implements standins.Observer.
+func (o observer) Ended(v standins.Visit, e standins.Ending, gone bool) {
+	d := o.who(v.Remote)
+	o.r.log.Add(history.Ran{ID: v.ID, Router: d.router, Life: d.life, Member: v.Member, Served: !gone && e.Outcome == 0, Gone: gone, Primary: e.Primary, Position: e.Position})
+}
+
+// write leaves one timeline of the history and of each process's own log.
+func (r *Rig) write(res *Result) error {
+	var lines []history.Line
+	for _, e := range res.History {
+		lines = append(lines, history.Line{At: e.At, From: "rig", Text: e.Fact.String()})
+	}
+	for _, b := range res.Broken {
+		lines = append(lines, history.Line{At: b.At, From: "RULE", Text: b.String()})
+	}
+	logs, err := filepath.Glob(filepath.Join(r.o.Dir, "r*", "log.*"))
+	if err != nil {
+		return err
+	}
+	slices.Sort(logs)
+	for _, name := range logs {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		from := filepath.Base(filepath.Dir(name)) + "." + strings.TrimPrefix(filepath.Base(name), "log.")
+		for s := bufio.NewScanner(f); s.Scan(); {
+			if at, ok := stamp(s.Text()); ok {
+				lines = append(lines, history.Line{At: at.Sub(r.log.Begin()), From: from, Text: s.Text()})
+			}
+		}
+		f.Close()
+	}
+	res.Timeline = filepath.Join(r.o.Dir, "timeline.txt")
+	f, err := os.Create(res.Timeline)
+	if err != nil {
+		return err
+	}
+	err = history.Timeline(f, lines)
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+// stamp is the time of a line of the program's log.
+func stamp(line string) (time.Time, bool) {
+	_, rest, ok := strings.Cut(line, "time=")
+	if !ok {
+		return time.Time{}, false
+	}
+	word, _, _ := strings.Cut(rest, " ")
+	at, err := time.Parse(time.RFC3339Nano, strings.Trim(word, `"`))
+	return at, err == nil
+}
--- /dev/null
+++ b/internal/lab/rig/view.go
@@ -0,0 +1,175 @@
+package rig
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"limeladder/internal/config"
+	"limeladder/internal/lab/rig/history"
+	"limeladder/internal/lab/rig/relay"
+	"limeladder/internal/lab/standins"
+)
+
+// view is discovery as one router meets it: the addresses are those of its own ways to the machines. Where lists are pushed it is the
+// agent on the router's machine: it has what reached it, and says nothing while discovery is away.
+type view struct {
+	host   *standins.Host
+	net    *relay.Net
+	log    *history.Log
+	router *process
+	pushed bool
+	addr   func(machine string) string
+	server *http.Server
+	listen string
+	stop   chan struct{}
+
+	mu   sync.Mutex
+	has  config.List // pushed: what reached the agent
+	deaf bool        // pushed: discovery can't be heard
+}
+
+const viewStep = 10 * time.Millisecond
+
+func (v *view) start() error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	v.listen, v.stop = ln.Addr().String(), make(chan struct{})
+	v.server = &http.Server{Handler: v, ReadHeaderTimeout: 5 * time.Second}
+	v.has = v.host.List(0)
+	go v.server.Serve(ln)
+	if v.pushed {
+		go v.hear()
+	}
+	return nil
+}
+
+func (v *view) close() {
+	close(v.stop)
+	v.server.Close()
+}
+
+// hear takes over what discovery pushes, while it can reach the agent. What the agent has counts as told.
+func (v *view) hear() {
+	for {
+		select {
+		case <-v.stop:
+			return
+		case <-time.After(viewStep):
+		}
+		l := v.host.List(0)
+		deaf := len(l.Servers) == 0 || v.net.Troubled(v.router.Name, discovery.Name)
+		v.mu.Lock()
+		if v.deaf = deaf; !deaf && l.Version > v.has.Version {
+			was := v.has.Version
+			v.has = l
+			for _, e := range v.host.List(was).Servers {
+				v.tell(e, false)
+			}
+		}
+		v.mu.Unlock()
+	}
+}
+
+// began notes what the agent has when its router starts.
+func (v *view) began() {
+	if !v.pushed {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.has.Servers {
+		if e.State != "ready" {
+			v.tell(e, false)
+		}
+	}
+}
+
+func (v *view) tell(e config.Entry, cut bool) {
+	v.log.Add(history.Told{Router: v.router.Name, Life: v.router.Life(), Member: e.ID, State: e.State, Cut: cut})
+}
+
+// list is what it says to a call, and whether it says anything.
+func (v *view) list(since int64) (l config.List, says bool) {
+	if !v.pushed {
+		l = v.host.List(since)
+		return l, l.Version > 0
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.deaf {
+		return l, false
+	}
+	l = config.List{Version: v.has.Version, Full: since == 0, Servers: []config.Entry{}}
+	if since < l.Version {
+		l.Full, l.Servers = true, append(l.Servers, v.has.Servers...) // a whole list is an answer too
+	}
+	return l, true
+}
+
+// known is the list as a router that starts has it.
+func (v *view) known() config.List {
+	l := v.host.List(0)
+	if len(l.Servers) == 0 {
+		v.mu.Lock()
+		l = v.has
+		v.mu.Unlock()
+	}
+	return v.mapped(l)
+}
+
+func (v *view) mapped(l config.List) config.List {
+	out := l
+	out.Servers = make([]config.Entry, len(l.Servers))
+	for i, e := range l.Servers {
+		e.Addr = v.addr(e.ID)
+		out.Servers[i] = e
+	}
+	return out
+}
+
+// ServeHTTP implements http.Handler.
+func (v *view) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet || r.URL.Path != "/v1/endpoints" {
+		http.NotFound(w, r)
+		return
+	}
+	since, watch, ms := int64(0), r.URL.Query().Has("index"), 0
+	if watch {
+		var err error
+		if since, err = strconv.ParseInt(r.URL.Query().Get("index"), 10, 64); err == nil {
+			ms, err = strconv.Atoi(r.URL.Query().Get("wait"))
+		}
+		if err != nil || ms < 0 || ms > 60_000 {
+			http.Error(w, "index and wait are numbers", http.StatusBadRequest)
+			return
+		}
+	}
+	for end := time.Now().Add(time.Duration(ms) * time.Millisecond); ; {
+		l, says := v.list(since)
+		if says && (!watch || l.Version > since || time.Now().After(end)) {
+			if watch && l.Version <= since {
+				l.Full, l.Servers = false, l.Servers[:0]
+			}
+			if !v.pushed {
+				cut := v.net.Troubled(v.router.Name, discovery.Name)
+				for _, e := range l.Servers {
+					v.tell(e, cut)
+				}
+			}
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(v.mapped(l))
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(viewStep):
+		}
+	}
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -58,7 +58,7 @@
 	} {
 		names[name] = builtin(name, f)
 	}
-	for _, what := range fleet.Faults {
+	for _, what := range append(slices.Clone(fleet.Faults), fleet.RigFaults...) {
 		names[what] = builtin(what, r.fault(what))
 	}
 	_, err = starlark.ExecFileOptions(&syntax.FileOptions{TopLevelControl: true, GlobalReassign: true, While: true, Set: true}, thread, file, src, names)
@@ -164,7 +164,7 @@
 		if err := float(&f, 0, float64(24*time.Hour/unit))(v); err != nil {
 			return err
 		}
-		*to = time.Duration(f * float64(unit))
+		*to = time.Duration(math.Round(f * float64(unit)))
 		return nil
 	}
 }
@@ -410,8 +410,14 @@
 			fields["part"] = float(&x.Part, 0, 1)
 		case "routers":
 			fields["part"] = float(&x.Part, 0, 1)
-		case "kill":
+		case "kill", "crash", "term":
 			fields = map[string]field{"back_s": span(&x.For, time.Second)}
+		case "delay":
+			fields["ms"], fields["jitter_ms"] = span(&x.Delay, time.Millisecond), span(&x.Jitter, time.Millisecond)
+		case "trickle":
+			fields["rate"] = whole(&x.Rate, 1, 1<<30)
+		case "reset", "lose":
+			fields = nil
 		}
 		if err := set(nil, kw, fields); err != nil {
 			return nil, err
@@ -432,11 +438,25 @@
 func (r *reader) known(what string, names []string) error {
 	c := r.s.Config
 	for _, name := range names {
-		if what == "cut" {
-			if from, to, ok := strings.Cut(name, ">"); !ok || from == "" || to == "" {
+		switch what {
+		case "cut", "delay", "trickle", "reset", "lose":
+			from, to, ok := strings.Cut(name, ">")
+			if !ok {
+				from, to, ok = strings.Cut(name, "=")
+			}
+			if !ok || from == "" || to == "" {
 				return fmt.Errorf("%s is no link such as a>b or a>db1a", name)
 			}
 			continue
+		case "crash", "freeze", "term":
+			n, site, of := 0, "", false
+			if site, of = strings.CutPrefix(name, "routers:"); of && slices.Contains(c.Zones, site) || name == "*" {
+				continue
+			}
+			if k, _ := fmt.Sscanf(name, "r%d", &n); k == 1 && name == fmt.Sprint("r", n) && n >= 1 && n <= c.Routers {
+				continue
+			}
+			return fmt.Errorf("no router is called %s", name)
 		}
 		kind, of, ok := strings.Cut(name, ":")
 		var bank int
--- a/internal/lab/standins/host.go
+++ b/internal/lab/standins/host.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,8 +19,33 @@
 	"limeladder/internal/lab/model"
 )
 
+// Visit is a statement that has come whole to a machine over one connection.
+type Visit struct {
+	Member, Remote string // the machine, and the other end of the connection
+	ID, Class      string
+	Write          bool
+	See            time.Duration // the position that a read has to see, as the machine reckons it when it comes; 0 = any
+	Led            bool          // the machine leads its bank, or did
+}
+
+// Ending is how a machine has ended a statement.
+type Ending struct {
+	Outcome  model.Outcome
+	Position time.Duration
+	Primary  bool
+}
+
+// Observer is told what reaches the machines. Its methods are called from many goroutines and must not call the Host.
+type Observer interface {
+	Came(v Visit)
+	// Ended comes once for each Came: answered, or given up with its connection (gone).
+	Ended(v Visit, e Ending, gone bool)
+}
+
 // Host runs a world in real time.
 type Host struct {
+	observer Observer // nil = none
+
 	cfg   fleet.Config
 	begin time.Time
 	rng   *rand.Rand
@@ -33,6 +59,7 @@
 	servers []*server
 	list    *directory
 	marks   []fleet.Mark
+	pushed  []string // machines that were pushed over while cold
 	stopped bool
 }
 
@@ -42,9 +69,8 @@
 		return nil, err
 	}
 	for _, x := range cfg.Faults {
-		switch x.What {
-		case "cut", "routers", "suspend":
-			return nil, fmt.Errorf("faults: %s is not possible on sockets", x.What)
+		if x.What == "cut" || x.What == "routers" || x.What == "suspend" || slices.Contains(fleet.RigFaults, x.What) {
+			return nil, fmt.Errorf("faults: %s needs more than one process: limelab rig", x.What)
 		}
 	}
 	begin := time.Now()
@@ -77,6 +103,34 @@
 	return h, nil
 }
 
+// Observe sets who is told; it is called before any router is started.
+func (h *Host) Observe(o Observer) { h.observer = o }
+
+// Pushed are the machines that were pushed over while they were cold, so far.
+func (h *Host) Pushed() (ids []string) {
+	h.with(func() { ids = append(ids, h.pushed...) })
+	return ids
+}
+
+// Zone is where a machine stands, "" = there is none of that id.
+func (h *Host) Zone(id string) (zone string) {
+	h.Machines(func(m *model.Machine) {
+		if m.ID == id {
+			zone = m.Zone
+		}
+	})
+	return zone
+}
+
+// Machines calls f with each machine of the world, as it is now.
+func (h *Host) Machines(f func(m *model.Machine)) {
+	h.with(func() {
+		for _, m := range h.world.Machines {
+			f(m)
+		}
+	})
+}
+
 // Stop ends all of it.
 func (h *Host) Stop() {
 	h.mu.Lock()
@@ -170,6 +224,9 @@
 
 // changed follows a machine's state: one that is down has no listener and no connections.
 func (h *Host) changed(m *model.Machine) {
+	if m.State() == model.Down && m.Cold() && strings.HasPrefix(m.Cause(), "pushed over") && !slices.Contains(h.pushed, m.ID) {
+		h.pushed = append(h.pushed, m.ID)
+	}
 	for _, s := range h.servers {
 		if s.m != m {
 			continue
@@ -184,8 +241,31 @@
 	}
 }
 
-// Settings is the configuration with which a router meets this world.
+// Seat is where a router stands in this world.
+type Seat struct {
+	Name, Listen, Operator, Zone string
+	Discovery                    string
+	Known                        config.List
+	Seed                         uint64
+}
+
+// Settings is the configuration with which the one router of this world meets it.
 func (h *Host) Settings(name, listen, operator string, seed uint64) ([]byte, error) {
+	return h.SettingsFor(Seat{Name: name, Listen: listen, Operator: operator, Zone: h.cfg.Zones[0], Discovery: h.Discovery(), Known: h.List(0), Seed: seed})
+}
+
+// List is what discovery says has changed behind a version, all of it behind 0. It is empty while discovery says nothing.
+func (h *Host) List(since int64) (l config.List) {
+	h.with(func() {
+		if h.list.down <= h.clock.Now() {
+			l = h.list.since(since)
+		}
+	})
+	return l
+}
+
+// SettingsFor is the configuration of one of several routers.
+func (h *Host) SettingsFor(s Seat) ([]byte, error) {
 	c := h.cfg
 	type lane struct {
 		Name                  string
@@ -206,8 +286,6 @@
 		words, bounds = append(words, needs[k.Need]), append(bounds, int64(k.Bound))
 	}
 	type object map[string]any
-	var list config.List
-	h.with(func() { list = h.list.since(0) })
 	discovery, guards := "ask", "reject"
 	if c.Pushed {
 		discovery = "push"
@@ -216,9 +294,9 @@
 		guards = "silent"
 	}
 	return json.MarshalIndent(object{
-		"name": name, "listen": listen, "operator": operator, "discovery": h.Discovery(), "seed": fmt.Sprint(seed), "known": list,
+		"name": s.Name, "listen": s.Listen, "operator": s.Operator, "discovery": s.Discovery, "seed": fmt.Sprintf("%x", s.Seed), "known": s.Known,
 		"limits": object{"cores": 1, "memory_mb": c.MemoryMB, "sockets": c.Sockets},
-		"settings": object{"Instances": c.Routers, "Locality": c.Zones[0], "Discovery": discovery, "ResolutionNs": 5_000_000, "Lanes": lanes,
+		"settings": object{"Instances": c.Routers, "Locality": s.Zone, "Discovery": discovery, "ResolutionNs": 5_000_000, "Lanes": lanes,
 			"Extra": object{"Guards": guards, "TokenMode": "client", "NeedsByClass": words, "LagAllowedNs": bounds, "OriginTimeNs": 1},
 			"Limits": object{"Cancelling": c.Cancel, "Probes": true, "RetryAfter": true, "MaxRetryAfterNs": int64(c.Comeback), "ConnIdleNs": int64(c.ConnIdle),
 				"ConnectTimeoutNs": int64(c.ConnectWithin), "MostTries": c.MostTries},
--- a/internal/lab/standins/session.go
+++ b/internal/lab/standins/session.go
@@ -26,26 +26,48 @@
 	c     net.Conn
 	epoch int // of its place at the machine, -1 = it has none
 	out   []byte
-	work  *model.Work // the statement that is out
+	work  *model.Work   // the statement that is out
+	in    chan []byte   // what has come
+	gone  chan struct{} // closed once the other side has closed or broken the connection
+	left  chan struct{} // closed once this side has
+}
+
+// read takes what comes also while a statement runs, so that a connection that is given up is noticed then.
+func (x *session) read() {
+	defer close(x.gone)
+	for {
+		buf := make([]byte, 4096)
+		n, err := x.c.Read(buf)
+		if err != nil {
+			return
+		}
+		select {
+		case x.in <- buf[:n]:
+		case <-x.left:
+			return
+		}
+	}
 }
 
 func (x *session) serve() {
+	x.in, x.gone, x.left = make(chan []byte, 4), make(chan struct{}), make(chan struct{})
+	go x.read()
 	defer x.leave()
 	r := pgwire.NewReader(mostMessage, mostStartup)
 	var sql string
 	failed := false
-	buf := make([]byte, 4096)
 	for {
 		m, ok, err := r.Next()
 		if err != nil {
 			return
 		}
 		if !ok {
-			n, err := x.c.Read(buf)
-			if err != nil {
+			select {
+			case p := <-x.in:
+				r.Feed(p)
+			case <-x.gone:
 				return
 			}
-			r.Feed(buf[:n])
 			continue
 		}
 		if m.Type == 0 {
@@ -120,6 +142,7 @@
 
 // leave gives up what is out, and the connection's place.
 func (x *session) leave() {
+	close(x.left)
 	x.c.Close()
 	x.s.h.with(func() {
 		delete(x.s.conns, x)
@@ -161,9 +184,10 @@
 	select {
 	case v = <-ch:
 		return v, true
+	case <-x.gone:
 	case <-x.s.h.end:
-		return v, false
 	}
+	return v, false
 }
 
 // report answers a probe.
@@ -231,11 +255,8 @@
 		return false
 	}
 	h, m := x.s.h, x.s.m
-	type end struct {
-		o   model.Outcome
-		pos time.Duration
-	}
-	ch := make(chan end, 1)
+	ch := make(chan Ending, 1)
+	v := Visit{Member: m.ID, Remote: x.c.RemoteAddr().String(), ID: head.ID, Class: head.Class}
 	h.with(func() {
 		var k *fleet.Class
 		for i := range h.cfg.Classes {
@@ -247,30 +268,38 @@
 		if k != nil {
 			w.Write, w.Long = fleet.Update(k), k.Long
 		}
+		see := head.After
+		if k != nil && k.Need == balance.NeedBounded {
+			see = h.clock.Now() - k.Bound
+		}
 		if h.cfg.Checks != balance.ChecksNone {
-			w.See = head.After
-			if k != nil && k.Need == balance.NeedBounded {
-				w.See = h.clock.Now() - k.Bound
-			}
+			w.See = see
 		}
-		w.Done = func(o model.Outcome, pos time.Duration, _ bool) {
+		v.Write, v.See, v.Led = w.Write, see, m.Led()
+		w.Done = func(o model.Outcome, pos time.Duration, primary bool) {
 			x.work = nil
-			ch <- end{o, pos}
+			ch <- Ending{o, pos, primary}
+		}
+		if h.observer != nil {
+			h.observer.Came(v)
 		}
 		x.work = w
 		m.Submit(w)
 	})
 	e, ok := wait(x, ch)
+	if h.observer != nil {
+		h.observer.Ended(v, e, !ok)
+	}
 	if !ok {
 		x.c.Close()
 		return false
 	}
-	switch e.o {
+	switch e.Outcome {
 	case model.Served:
 		if simple {
 			x.out = pgwire.Append(x.out, 'T', columns)
 		}
-		x.row("SELECT 1", m.ID+" "+strconv.FormatInt(int64(e.pos), 10))
+		x.row("SELECT 1", m.ID+" "+strconv.FormatInt(int64(e.Position), 10))
 		return true
 	case model.Full:
 		x.fail(pgwire.TooManyConnections, "no slot and no room")
--- /dev/null
+++ b/scenarios/rig/site.star
@@ -0,0 +1,7 @@
+about("Several processes: one of two sites is lost with its routers and returns cold; then the sites are parted.")
+fleet(routers=6, banks=3, members=3, zones=["n", "s"], grace_ms=500, come_back_s=1)
+network(pushed=True, role_lag_s=(1.2, 4.1), notice_s=(0.5, 1.5), silent_s=(3, 5))
+traffic(use=0.15, length_s=24)
+at(3, kill("zone:s", back_s=6), crash("routers:s", back_s=7))
+at(15, cut("n=!n", length_s=3))
+expect("rules", most=0)
