Whole sites: what has become of each, by evidence, and a plan for the loss of each

GET /v1/sites, limeladder sites plan, and operators' calls that declare a site lost for a time. Off by default; it changes no request's way yet.

Found while testing: a site whose only machine drained while it was lost stayed lost for ever.

--- a/balance/state.go
+++ b/balance/state.go
@@ -438,3 +438,32 @@
 		}
 	}
 }
+
+// Sight is what an instance makes of a member, for those who look on.
+type Sight struct {
+	Node, Zone string
+	Group      int64
+	Primary    bool    // it is believed to be its group's
+	Up         bool    // it can be sent something now
+	Limit      float64 // attempts that may be out, for this instance
+	Rate       float64 // work done for this instance, seconds a second, moving mean
+}
+
+// Sights calls f with each member that is listed, in the order of groups and ids.
+func (r *Router) Sights(f func(Sight)) {
+	for _, g := range r.order {
+		for _, n := range g.members {
+			if n.state != Gone {
+				f(Sight{n.id, n.zone, g.id, g.primary == n && g.state == usable, n.in() && !n.suspect, n.limit, n.rate})
+			}
+		}
+	}
+}
+
+// Cost is what requests of a class cost a member, seconds: the least seen, forgotten slowly, and the moving mean with waiting.
+func (r *Router) Cost(name string) (work, mean float64) {
+	if c := r.classes[name]; c != nil {
+		return c.work, c.lat
+	}
+	return 0, 0
+}
--- a/cmd/limeladder/command.go
+++ b/cmd/limeladder/command.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/alecthomas/kong"
 
@@ -18,6 +19,9 @@
 	Audit struct {
 		Verify auditVerify `cmd:"" help:"Prove collected audit records whole, or name what is first wrong."`
 	} `cmd:"" help:"Work with audit records."`
+	Sites struct {
+		Plan sitesPlan `cmd:"" help:"What has become of each site, and what its loss would mean, as a router sees it now."`
+	} `cmd:"" help:"Work with whole sites."`
 }
 
 // auditVerify proves files.
@@ -57,6 +61,9 @@
 	if ctx.Command() == "run" {
 		return true, 0
 	}
+	if strings.HasPrefix(ctx.Command(), "sites plan") {
+		return false, c.Sites.Plan.run(out, fault)
+	}
 	return false, c.Audit.Verify.run(in, out, fault)
 }
 
--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -106,6 +106,7 @@
 	if err := d.holdThrough(cfg); err != nil {
 		return nil, err
 	}
+	d.watchSites(cfg)
 	d.pool = servers.New(d.loop, d.engine, d.lim, log)
 	d.watcher = list.New(d.loop, d.engine, d.lim, log, cfg.Discovery, d)
 	d.core.Connect(d.pool, d.watcher)
--- a/cmd/limeladder/deployment_test.go
+++ b/cmd/limeladder/deployment_test.go
@@ -90,6 +90,8 @@
 	return &all
 }
 
+func query(text string) []byte { return pgwire.AppendQuery(nil, text) }
+
 // kept says that nothing came to a machine later than the grace after the agent was sent that it drains, but from told on where
 // the agent could not be heard before.
 func kept(t *testing.T, db *standin.DB, told time.Time) {
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -21,6 +21,9 @@
 		Bytes   int           `toml:"bytes"`   // of their statements, 0 = by memory
 		Time    time.Duration `toml:"time"`    // the longest that one is held, 0 = until its own deadline
 	} `toml:"changeover"`
+	Sites struct {
+		Watch bool `toml:"watch"` // whole sites are judged, and their loss is planned
+	} `toml:"sites"`
 	Syslog Syslog `toml:"syslog"`
 	Audit  Audit  `toml:"audit"`
 	Store  struct {
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -38,6 +38,7 @@
 	Program string        // the router
 	Dir     string        // where files and logs go; it has to exist
 	Notice  time.Duration // until a front has noticed that a router has died
+	Deploy  string        // the routers' deploy/limeladder.toml, "" = all of it is off
 
 	// Harm, where not nil, changes the configuration with which routers are started: for trying the rig itself.
 	Harm func(settings []byte) []byte
@@ -131,7 +132,7 @@
 	if err := os.MkdirAll(p.dir, 0o700); err != nil {
 		return err
 	}
-	if err := os.WriteFile(filepath.Join(p.dir, "limeladder.toml"), nil, 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(p.dir, "limeladder.toml"), []byte(r.o.Deploy), 0o600); err != nil {
 		return err
 	}
 	ways := map[string]*relay.Link{}
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -111,6 +111,45 @@
 	}
 }
 
+// Each router that is left takes a site for lost that is, and for returning once it is back; those that are parted from it take it for
+// unreachable, and none takes its own site, or a third one, for lost.
+func TestSurvivorsJudgeSites(t *testing.T) {
+	c := small(3, 6, fault(2*sec, "kill", 3*sec, "zone:s"), fault(2*sec, "crash", 0, "routers:s"))
+	c.Banks, c.Use, c.Length = 3, 0.3, 11*sec
+	res, err := Run(Options{Config: c, Seed: 1, Program: program, Dir: t.TempDir(), Notice: 500 * time.Millisecond, Deploy: "[sites]\nwatch = true\n"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range res.Broken {
+		t.Error(b)
+	}
+	p, err := os.ReadFile(res.Timeline)
+	if err != nil {
+		t.Fatal(err)
+	}
+	line := regexp.MustCompile(`(?m)^ *([0-9.]+)  (r[0-9])\.1 .* msg=site .*site=(\w+) from=(\w+) to=(\w+)`)
+	lost, back := map[string]string{}, map[string]bool{}
+	for _, m := range line.FindAllStringSubmatch(string(p), -1) {
+		at, router, site, to := m[1], m[2], m[3], m[5]
+		if site != "s" && to == "lost" {
+			t.Errorf("%s takes %s for lost at %s s", router, site, at)
+		}
+		if to == "lost" && lost[router] == "" {
+			lost[router] = at
+		}
+		back[router] = back[router] || to == "returning"
+	}
+	for _, r := range []string{"r1", "r3", "r4", "r6"} { // r2 and r5 stood in s
+		if lost[r] == "" || !back[r] {
+			t.Errorf("%s: lost at %q s, returning %v", r, lost[r], back[r])
+		}
+	}
+	t.Logf("lost at %v", lost)
+	if t.Failed() {
+		keep(t, res.Timeline)
+	}
+}
+
 // A rule that processes break is seen: routers that hear of no list go on sending to a machine that drains.
 func TestRigSeesABrokenRule(t *testing.T) {
 	address := regexp.MustCompile(`"discovery": "[^"]*"`)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -25,6 +25,10 @@
 	Drain(on bool, done func())
 	// Cells is the state of all banks as JSON; off says that nothing is held here.
 	Cells() (p []byte, off bool)
+	// Sites is what has become of each site and what its loss would mean, as JSON or as a table; off says that they are not watched.
+	Sites(table bool) (text string, off bool)
+	// Declare says that a site is lost, for so long at most; 0 takes it back. known lists the sites there are where it is none.
+	Declare(site string, length time.Duration) (ok bool, known []string, off bool)
 	// Changeover says that a bank's primary is about to change: its writes are held until then, for so long at most.
 	Changeover(cell int64, limit time.Duration) (known, off bool)
 }
@@ -145,6 +149,21 @@
 				k.answer(http.StatusOK, string(text), "Content-Type: application/json")
 			}
 		}
+	case len(p) == 2 && p[0] == "v1" && p[1] == "sites":
+		method = http.MethodGet
+		act = func() {
+			table := c.query.Get("as") == "table"
+			switch text, off := r.Sites(table); {
+			case off:
+				k.answer(http.StatusNotFound, sitesOff)
+			case table:
+				k.answer(http.StatusOK, text)
+			default:
+				k.answer(http.StatusOK, text, "Content-Type: application/json")
+			}
+		}
+	case len(p) == 4 && p[0] == "v1" && p[1] == "sites" && (p[3] == "lost" || p[3] == "found"):
+		act = func() { k.declare(p[2], p[3] == "lost", c.query.Get("limit")) }
 	case len(p) == 4 && p[0] == "v1" && p[1] == "cells" && p[3] == "changeover":
 		act = func() { k.changeover(p[2], c.query.Get("limit")) }
 	default:
@@ -184,6 +203,41 @@
 	}
 }
 
+const sitesOff = "sites are not watched here: [sites] watch is off"
+
+// The time limit of a site that is declared lost, where the call names none, and the longest.
+const (
+	declareUsual = 5 * time.Minute
+	declareMost  = 24 * time.Hour
+)
+
+// declare carries out an operator's word on a site.
+func (k *conn) declare(site string, lost bool, limit string) {
+	length := time.Duration(0)
+	if lost {
+		length = declareUsual
+		if limit != "" {
+			var err error
+			if length, err = time.ParseDuration(limit); err != nil || length <= 0 || length > declareMost {
+				k.answer(http.StatusBadRequest, "limit: a time such as 5m, one day at most")
+				return
+			}
+		}
+	}
+	ok, known, off := k.server.router.Declare(site, length)
+	k.server.log.Info("operator", "call", "site", "site", site, "lost", lost, "limit", length, "known", ok)
+	switch {
+	case off:
+		k.answer(http.StatusNotFound, sitesOff)
+	case !ok:
+		k.answer(http.StatusNotFound, "no site of that name; there are: "+strings.Join(known, ", "))
+	case lost:
+		k.answer(http.StatusOK, "taken for lost")
+	default:
+		k.answer(http.StatusOK, "judged by evidence")
+	}
+}
+
 // answer ends the call and the connection.
 func (k *conn) answer(status int, text string, header ...string) {
 	if k.over {
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -14,6 +14,7 @@
 		return
 	}
 	r.inHand[q.id] = q
+	r.asks(q)
 	// The module ends what it holds in time; the timer is for attempts that are out, and guards against a
 	// request that would stay without any answer.
 	q.timer = r.loop.After(q.dieAt-r.loop.Now(), func() { r.expire(q) })
--- a/internal/router/book.go
+++ b/internal/router/book.go
@@ -45,6 +45,7 @@
 
 func (r *Router) outcome(q *request, leg int, node string, res Result, took time.Duration) {
 	r.count.Attempts[res.Status]++
+	r.evidence(node, res)
 	r.pending = append(r.pending, balance.Outcome{ID: q.id, Attempt: leg, Node: node, Status: res.Status, Took: took,
 		Finished: q.over, Role: res.Role, Position: res.Position})
 }
--- a/internal/router/route.go
+++ b/internal/router/route.go
@@ -3,12 +3,14 @@
 import (
 	"limeladder/balance"
 	"limeladder/internal/audit"
+	"limeladder/internal/sites"
 )
 
 // List passes on what discovery has told.
 func (r *Router) List(l balance.List) {
 	r.pending = append(r.pending, l)
 	r.listed(l)
+	r.listedSites(l)
 }
 
 // Suspend takes a db machine out for operators, or lets it back in. It binds when it returns.
@@ -29,6 +31,7 @@
 			r.act(a)
 		}
 	}
+	r.stepSites()
 }
 
 func (r *Router) act(a balance.Action) {
@@ -58,6 +61,9 @@
 		r.watcher.Track()
 	case balance.Lead:
 		r.believe(a)
+		if r.sites != nil && a.Believed {
+			r.sites.events = append(r.sites.events, sites.Leads{Bank: a.Group, Machine: a.Node})
+		}
 		r.record(audit.Primary{Group: a.Group, Node: a.Node, Believed: a.Believed, Why: a.Why})
 	case balance.Log:
 		text := a.Text[:min(len(a.Text), r.lim.LogText)]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -102,8 +102,9 @@
 	module  *balance.Router
 	servers Servers
 	watcher Watcher
-	audit   Audit   // nil = nothing is recorded
-	holder  *holder // nil = nothing is held through a change of primary
+	audit   Audit           // nil = nothing is recorded
+	holder  *holder         // nil = nothing is held through a change of primary
+	sites   *watcherOfSites // nil = whole sites are not watched
 	classes map[string]balance.Class
 
 	pending []balance.Event
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -69,6 +69,7 @@
 func (r *Router) probe(node string, own bool) {
 	at := r.loop.Now()
 	r.servers.Probe(node, func(res Result) {
+		r.evidence(node, res)
 		if !own && res.Status != balance.Done {
 			// The module waits longer for a member with each probe that fails: the holder's are many more than its own.
 			r.reported(node, res)
--- /dev/null
+++ b/internal/sites/evidence.go
@@ -0,0 +1,549 @@
+// Package sites tells from a router's own evidence what has become of whole sites, and plans what the loss of each would mean. It does no
+// I/O, holds no clock and draws nothing: time and events come from the caller. It decides no request's way.
+package sites
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// State is what a site is taken for.
+type State uint8
+
+// A site is well; suspected once most of what is known of it fails; lost once that lasts; returning once it answers again; settled when it
+// has answered for a while. Settled becomes well.
+const (
+	Well State = iota
+	Suspected
+	Lost
+	Returning
+	Settled
+)
+
+func (s State) String() string {
+	return [...]string{"well", "suspected", "lost", "returning", "settled"}[s]
+}
+
+// Kind is what the evidence says of a site that is not well.
+type Kind uint8
+
+const (
+	Unclear   Kind = iota
+	SiteLost       // its machines are lost: nothing speaks for their being alive
+	CutOff         // this router can't reach it, and it lives: its banks go on committing
+	Alone          // this router reaches no other site than its own, or none at all: the fault is on its side as likely
+	Discovery      // the list says that its machines have gone
+)
+
+func (k Kind) String() string {
+	return [...]string{"unclear", "site lost", "cut off from here", "alone on this side", "listed as gone"}[k]
+}
+
+// Config bounds a Model. Zero values are not allowed.
+type Config struct {
+	Own    string        // the router's own site, "" = not known
+	Window time.Duration // evidence older than this says nothing of a machine that is not down
+	Hold   time.Duration // a suspicion has to last so long
+	Settle time.Duration // a site that has come back is watched for so long: as long as cold machines take to get warm
+	Most   int           // machines that are followed at most
+}
+
+// The shares of a site's known machines.
+const (
+	mostDown  = 0.6 // from here on it is suspected,
+	otherDown = 0.3 // if no more than this is down elsewhere
+	fewDown   = 0.2 // and at most this may be down for it to settle
+	mostFlaps = 5   // doublings of what a site that flaps has to wait
+)
+
+// Event is something that happened.
+type Event interface{ event() }
+
+// Listed is one machine of a list.
+type Listed struct {
+	Machine, Site string
+	Bank          int64
+	State         ListState
+}
+
+// ListState is what a list says of a machine.
+type ListState uint8
+
+const (
+	Ready ListState = iota
+	Draining
+	Gone
+)
+
+// Whole says that the list had these machines and no others.
+type Whole struct{ Machines []string }
+
+// Heard: a machine has answered anything at all.
+type Heard struct{ Machine string }
+
+// Failed: it has not.
+type Failed struct {
+	Machine string
+	Why     Failure
+}
+
+// Failure is how.
+type Failure uint8
+
+const (
+	Refused Failure = iota // no connection came up
+	Reset                  // one broke
+	Silent                 // nothing came in time
+)
+
+// Leads: a bank's primary is believed to be a machine.
+type Leads struct {
+	Bank    int64
+	Machine string
+}
+
+// Applied: a replica has said that it has applied all commits of its bank up to a moment. A primary that can't be reached lives if
+// that moment lies behind its failure.
+type Applied struct {
+	Machine string
+	Upto    time.Duration
+}
+
+// Declare is an operator's word that a site is lost, until a moment; 0 takes it back.
+type Declare struct {
+	Site  string
+	Until time.Duration
+}
+
+func (Listed) event()  {}
+func (Whole) event()   {}
+func (Heard) event()   {}
+func (Failed) event()  {}
+func (Leads) event()   {}
+func (Applied) event() {}
+func (Declare) event() {}
+
+// Action is what the caller is told.
+type Action interface{ action() }
+
+// Changed: a site is taken for something else.
+type Changed struct {
+	Site     string
+	From, To State
+	Kind     Kind
+	Evidence string
+}
+
+// Wake asks for a Step by then.
+type Wake struct{ At time.Duration }
+
+func (Changed) action() {}
+func (Wake) action()    {}
+
+// machine is what is known of one.
+type machine struct {
+	id, site string
+	bank     int64
+	drains   bool          // it was told to leave before it failed: a deploy is no loss
+	gone     bool          // the list has dropped it without that
+	off      time.Duration // since when no list names it, 0 = one does
+	heard    time.Duration
+	bad      time.Duration // the first failure since it was heard, 0 = none
+	fails    int
+	why      Failure
+}
+
+// site is one.
+type site struct {
+	name     string
+	machines map[string]*machine
+	state    State
+	kind     Kind
+	since    time.Duration
+	calm     time.Duration // since when few of it are down, 0 = they are not
+	evidence string
+	flaps    int
+	declared time.Duration
+}
+
+// Model follows all sites.
+type Model struct {
+	cfg      Config
+	now      time.Duration
+	machines map[string]*machine
+	sites    map[string]*site
+	leads    map[int64]string
+	upto     map[int64]time.Duration
+}
+
+// New returns a Model that knows nothing.
+func New(cfg Config) *Model {
+	return &Model{cfg: cfg, machines: map[string]*machine{}, sites: map[string]*site{}, leads: map[int64]string{}, upto: map[int64]time.Duration{}}
+}
+
+// Step takes what has happened by now and returns what has changed, in the order of the sites' names.
+func (m *Model) Step(now time.Duration, events []Event) []Action {
+	m.now = now
+	for _, e := range events {
+		switch e := e.(type) {
+		case Listed:
+			m.listed(e)
+		case Whole:
+			m.whole(e)
+		case Heard:
+			if x := m.machines[e.Machine]; x != nil {
+				x.heard, x.bad, x.fails, x.gone = now, 0, 0, false
+			}
+		case Failed:
+			if x := m.machines[e.Machine]; x != nil {
+				if x.fails++; x.bad == 0 {
+					x.bad = now
+				}
+				x.why = e.Why
+			}
+		case Leads:
+			m.leads[e.Bank] = e.Machine
+		case Applied:
+			if x := m.machines[e.Machine]; x != nil {
+				m.upto[x.bank] = max(m.upto[x.bank], e.Upto)
+			}
+		case Declare:
+			if s := m.sites[e.Site]; s != nil {
+				s.declared = e.Until
+			}
+		}
+	}
+	return m.judge()
+}
+
+func (m *Model) listed(e Listed) {
+	x := m.machines[e.Machine]
+	if x == nil {
+		if e.State == Gone || len(m.machines) >= m.cfg.Most {
+			return
+		}
+		x = &machine{id: e.Machine}
+		m.machines[e.Machine] = x
+	}
+	x.bank = e.Bank
+	if x.site != e.Site || m.sites[e.Site] == nil {
+		m.leave(x)
+		x.site = e.Site
+		s := m.sites[e.Site]
+		if s == nil {
+			s = &site{name: e.Site, machines: map[string]*machine{}}
+			m.sites[e.Site] = s
+		}
+		s.machines[x.id] = x
+	}
+	x.off = 0
+	switch e.State {
+	case Ready:
+		x.drains, x.gone = false, false
+	case Draining:
+		x.drains = true
+	case Gone:
+		x.gone = !x.drains
+	}
+}
+
+// whole forgets what is no more listed. One that failed before it went keeps counting while its site is not well: it was lost.
+func (m *Model) whole(e Whole) {
+	named := map[string]bool{}
+	for _, id := range e.Machines {
+		named[id] = true
+	}
+	for id, x := range m.machines {
+		if !named[id] {
+			if s := m.sites[x.site]; s != nil && s.state != Well && x.down(m.now, m.cfg.Window) {
+				if x.gone = !x.drains; x.off == 0 {
+					x.off = m.now
+				}
+				continue
+			}
+			m.drop(x)
+		}
+	}
+}
+
+// forgetAfter is how long a machine that no list names any more goes on to speak of its site's loss.
+const forgetAfter = 10 * time.Minute
+
+func (m *Model) drop(x *machine) {
+	m.leave(x)
+	delete(m.machines, x.id)
+}
+
+func (m *Model) leave(x *machine) {
+	if s := m.sites[x.site]; s != nil {
+		if delete(s.machines, x.id); len(s.machines) == 0 {
+			delete(m.sites, x.site)
+		}
+	}
+}
+
+// down says that a machine has failed and not been heard since: twice, or once and then nothing for a while.
+func (x *machine) down(now, window time.Duration) bool {
+	return x.gone || x.bad > 0 && (x.fails > 1 || now-x.bad >= window/4)
+}
+
+// figures are what is known of some machines.
+type figures struct {
+	down, fine int
+	banks      map[int64]bool // of those that are down
+}
+
+func (f figures) known() int { return f.down + f.fine }
+
+func (f figures) share() float64 {
+	if f.known() == 0 {
+		return 0
+	}
+	return float64(f.down) / float64(f.known())
+}
+
+func (m *Model) count(s *site, f *figures) {
+	for _, x := range s.machines {
+		switch {
+		case x.drains:
+		case x.down(m.now, m.cfg.Window):
+			f.down++
+			f.banks[x.bank] = true
+		case x.heard > 0 && m.now-x.heard <= m.cfg.Window:
+			f.fine++
+		}
+	}
+}
+
+// judge moves each site to the state that the evidence gives it.
+func (m *Model) judge() (acts []Action) {
+	for _, x := range m.machines {
+		if x.off > 0 && m.now-x.off > forgetAfter {
+			m.drop(x)
+		}
+	}
+	names := slices.Sorted(maps.Keys(m.sites))
+	all := map[string]figures{}
+	for _, name := range names {
+		f := figures{banks: map[int64]bool{}}
+		m.count(m.sites[name], &f)
+		all[name] = f
+	}
+	wake := time.Duration(0)
+	for _, name := range names {
+		s, f := m.sites[name], all[name]
+		others := figures{banks: map[int64]bool{}}
+		reached := false // another site than this one and the router's own answers
+		for o, g := range all {
+			if o == name || g.share() >= mostDown { // one that fails itself says nothing of what all share
+				continue
+			}
+			others.down, others.fine = others.down+g.down, others.fine+g.fine
+			reached = reached || o != m.cfg.Own && g.fine > 0
+		}
+		if c, ok := m.move(s, f, others, reached); ok {
+			acts = append(acts, c)
+		}
+		if s.state != Well {
+			if next := m.now + m.cfg.Hold/4; wake == 0 || next < wake {
+				wake = next
+			}
+		}
+		for _, x := range s.machines { // a single failure speaks once it has lasted
+			if x.bad > 0 && !x.down(m.now, m.cfg.Window) {
+				if next := x.bad + m.cfg.Window/4; wake == 0 || next < wake {
+					wake = next
+				}
+			}
+		}
+	}
+	if wake > 0 {
+		acts = append(acts, Wake{At: wake})
+	}
+	return acts
+}
+
+// failing says whether a site's figures speak against the site as a whole.
+func (m *Model) failing(s *site, f, others figures) bool {
+	if f.known() == 0 || f.share() < mostDown || 2*f.known() < m.here(s) {
+		return false
+	}
+	if banks := m.banks(s); banks > 1 && len(f.banks) < 2 {
+		return false // one bank's trouble
+	}
+	if others.known() > 0 && others.share() > otherDown && others.fine > 0 {
+		return false // it is no site's own: something that all share
+	}
+	return true
+}
+
+// here is how many machines of a site are not told to leave.
+func (m *Model) here(s *site) (n int) {
+	for _, x := range s.machines {
+		if !x.drains {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Model) banks(s *site) int {
+	seen := map[int64]bool{}
+	for _, x := range s.machines {
+		if !x.drains {
+			seen[x.bank] = true
+		}
+	}
+	return len(seen)
+}
+
+// lives says that something speaks for a site that can't be reached: a bank whose primary is there has committed since it failed.
+func (m *Model) lives(s *site) bool {
+	for bank, id := range m.leads {
+		if x := s.machines[id]; x != nil && x.bad > 0 && m.upto[bank] > x.bad+m.cfg.Window/4 {
+			return true
+		}
+	}
+	return false
+}
+
+// kindOf is what the evidence says the fault is.
+func (m *Model) kindOf(s *site, others figures, reached bool) Kind {
+	gone := 0
+	for _, x := range s.machines {
+		if x.gone {
+			gone++
+		}
+	}
+	switch {
+	case m.lives(s):
+		return CutOff
+	case gone > 0 && 2*gone >= m.here(s):
+		return Discovery
+	case others.fine == 0, !reached && len(m.sites) > 2:
+		return Alone
+	case len(m.sites) <= 2 && s.name != m.cfg.Own && m.cfg.Own != "":
+		return Unclear // of two sites one can't tell by itself which side the fault is on
+	}
+	return SiteLost
+}
+
+// move takes a site from one state to the next, one step at a time.
+func (m *Model) move(s *site, f, others figures, reached bool) (c Changed, moved bool) {
+	bad := m.failing(s, f, others)
+	said := s.declared > m.now
+	if f.share() > fewDown {
+		s.calm = 0
+	} else if s.calm == 0 {
+		s.calm = m.now
+	}
+	wait := m.cfg.Hold << min(s.flaps, mostFlaps)
+	settle := m.cfg.Settle << min(s.flaps, mostFlaps)
+	next := s.state
+	switch s.state {
+	case Well, Settled:
+		switch {
+		case said:
+			next = Lost
+		case bad:
+			next = Suspected
+		case s.state == Settled && m.now-s.since >= settle:
+			next, s.flaps = Well, max(0, s.flaps-1)
+		}
+	case Suspected:
+		switch {
+		case said, bad && m.now-s.since >= m.cfg.Hold:
+			next = Lost
+		case !bad && f.share() < mostDown, !bad && m.now-s.since >= 2*m.cfg.Window:
+			next = Well
+		}
+	case Lost:
+		// What has been lost for a moment has to answer for longer each time.
+		if !said && (f.fine > 0 || f.down == 0) && f.share() < mostDown && m.now-s.since >= wait-m.cfg.Hold {
+			next = Returning
+		}
+	case Returning:
+		switch {
+		case said, bad:
+			next, s.flaps = Lost, s.flaps+1
+		case s.calm > 0 && m.now-s.calm >= settle:
+			next = Settled
+		}
+	}
+	if next == s.state {
+		if s.state == Lost || s.state == Suspected {
+			s.kind = m.kindOf(s, others, reached) // it may become clear later
+		}
+		return c, false
+	}
+	c = Changed{Site: s.name, From: s.state, To: next}
+	if next == Suspected || next == Lost {
+		s.kind = m.kindOf(s, others, reached)
+	} else if next == Well {
+		s.kind = Unclear
+	}
+	s.evidence = fmt.Sprintf("%d of %d known machines down (%s), %d of %d elsewhere", f.down, f.known(), m.reasons(s), others.down, others.known())
+	if said {
+		s.evidence = "declared by an operator; " + s.evidence
+	}
+	c.Kind, c.Evidence = s.kind, s.evidence
+	s.state, s.since = next, m.now
+	return c, true
+}
+
+// reasons says how a site's machines fail.
+func (m *Model) reasons(s *site) string {
+	n := map[string]int{}
+	for _, x := range s.machines {
+		switch {
+		case x.drains || !x.down(m.now, m.cfg.Window):
+		case x.gone:
+			n["gone"]++
+		default:
+			n[[...]string{"refused", "reset", "silent"}[x.why]]++
+		}
+	}
+	if len(n) == 0 {
+		return "none"
+	}
+	out := ""
+	for _, k := range slices.Sorted(maps.Keys(n)) {
+		if out != "" {
+			out += ", "
+		}
+		out += fmt.Sprintf("%d %s", n[k], k)
+	}
+	return out
+}
+
+// View is a site as those on call see it.
+type View struct {
+	Site     string
+	State    State
+	Kind     Kind
+	Since    time.Duration // of its state, on the caller's clock
+	Evidence string        // of its last change
+	Machines int
+	Down     int
+	Flaps    int
+}
+
+// Views are all sites, in the order of their names.
+func (m *Model) Views() (out []View) {
+	for _, s := range m.sites {
+		f := figures{banks: map[int64]bool{}}
+		m.count(s, &f)
+		out = append(out, View{s.name, s.state, s.kind, s.since, s.evidence, len(s.machines), f.down, s.flaps})
+	}
+	slices.SortFunc(out, func(a, b View) int { return cmp.Compare(a.Site, b.Site) })
+	return out
+}
+
+// Down says whether a machine is taken for down.
+func (m *Model) Down(id string) bool {
+	x := m.machines[id]
+	return x != nil && x.down(m.now, m.cfg.Window)
+}
--- /dev/null
+++ b/internal/sites/evidence_test.go
@@ -0,0 +1,388 @@
+package sites
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func config(own string) Config {
+	return Config{Own: own, Window: 2 * time.Second, Hold: 500 * ms, Settle: 4 * time.Second, Most: 500}
+}
+
+// world drives a Model: in each step every machine that can answers, the others fail.
+type world struct {
+	t     *testing.T
+	m     *Model
+	now   time.Duration
+	ids   []string
+	site  map[string]string
+	bad   map[string]Failure
+	seen  []Changed
+	extra []Event
+}
+
+// newWorld has banks of one machine in each site, the primary of bank n in site n.
+func newWorld(t *testing.T, own string, banks int, names ...string) *world {
+	w := &world{t: t, m: New(config(own)), now: 100 * time.Second, site: map[string]string{}, bad: map[string]Failure{}}
+	var events []Event
+	for b := range banks {
+		for _, s := range names {
+			id := fmt.Sprintf("%s%d", s, b)
+			w.ids, w.site[id] = append(w.ids, id), s
+			events = append(events, Listed{Machine: id, Site: s, Bank: int64(b)})
+		}
+		events = append(events, Leads{Bank: int64(b), Machine: fmt.Sprintf("%s%d", names[b%len(names)], b)})
+	}
+	w.step(0, events...)
+	return w
+}
+
+func (w *world) step(d time.Duration, events ...Event) {
+	w.now += d
+	for _, a := range w.m.Step(w.now, events) {
+		switch a := a.(type) {
+		case Changed:
+			w.seen = append(w.seen, a)
+		case Wake:
+			if a.At <= w.now {
+				w.t.Fatalf("it wants to be woken at %v, now is %v", a.At, w.now)
+			}
+		}
+	}
+}
+
+// run lets time pass, with a word of each machine every 50 ms.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		var events []Event
+		for _, id := range w.ids {
+			if why, bad := w.bad[id]; bad {
+				events = append(events, Failed{id, why})
+			} else {
+				events = append(events, Heard{id})
+			}
+		}
+		w.step(50*ms, append(events, w.extra...)...)
+	}
+}
+
+// lose lets all of a site fail, back lets it answer.
+func (w *world) lose(site string, why Failure) {
+	for _, id := range w.ids {
+		if w.site[id] == site {
+			w.bad[id] = why
+		}
+	}
+}
+
+func (w *world) back(site string) {
+	for _, id := range w.ids {
+		if w.site[id] == site {
+			delete(w.bad, id)
+		}
+	}
+}
+
+func (w *world) is(site string, want State, kind Kind) {
+	w.t.Helper()
+	for _, v := range w.m.Views() {
+		if v.Site == site {
+			if v.State != want || v.Kind != kind {
+				w.t.Fatalf("%s is %v (%v), not %v (%v): %s", site, v.State, v.Kind, want, kind, v.Evidence)
+			}
+			return
+		}
+	}
+	w.t.Fatalf("no site %s", site)
+}
+
+// A site that is lost is suspected at once, lost once it lasts, and comes back by way of returning and settled.
+func TestSiteIsLostAndReturns(t *testing.T) {
+	for _, why := range []Failure{Refused, Reset, Silent} {
+		w := newWorld(t, "n", 4, "n", "s", "w")
+		w.run(3 * time.Second)
+		w.lose("s", why)
+		w.run(200 * ms)
+		w.is("s", Suspected, SiteLost)
+		w.run(600 * ms)
+		w.is("s", Lost, SiteLost)
+		w.is("w", Well, Unclear)
+		if e := w.seen[len(w.seen)-1].Evidence; !strings.Contains(e, "4 of 4 known machines down (4 ") || !strings.Contains(e, "0 of 8 elsewhere") {
+			t.Errorf("%q", e)
+		}
+		w.run(20 * time.Second)
+		w.back("s")
+		w.run(200 * ms)
+		w.is("s", Returning, SiteLost)
+		w.run(5 * time.Second)
+		w.is("s", Settled, SiteLost)
+		w.run(5 * time.Second)
+		w.is("s", Well, Unclear)
+		if len(w.seen) != 5 {
+			t.Errorf("%v", w.seen)
+		}
+	}
+}
+
+// What is no loss of a site is not taken for one: one bank's trouble, a fault that all sites share, a deploy that takes half a site out,
+// a few bad machines, one break on each connection, a list that falls silent.
+func TestWhatIsNoLoss(t *testing.T) {
+	for name, befall := range map[string]func(w *world){
+		"one bank": func(w *world) {
+			for _, id := range w.ids {
+				if strings.HasSuffix(id, "0") {
+					w.bad[id] = Silent
+				}
+			}
+		},
+		"a shared slowdown": func(w *world) {
+			for i, id := range w.ids {
+				if i%2 == 0 {
+					w.bad[id] = Silent
+				}
+			}
+		},
+		"a deploy": func(w *world) {
+			for _, id := range []string{"s0", "s1", "s2"} {
+				w.step(ms, Listed{Machine: id, Site: "s", Bank: 0, State: Draining})
+				w.bad[id] = Refused
+			}
+			w.step(ms, Listed{Machine: "s0", Site: "s", State: Gone})
+		},
+		"two of four": func(w *world) { w.bad["s1"], w.bad["s2"] = Refused, Silent },
+		"one break each": func(w *world) {
+			for _, id := range w.ids {
+				if w.site[id] == "s" {
+					w.step(ms, Failed{id, Reset})
+				}
+			}
+		},
+		"nothing is heard": func(w *world) { w.ids = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, "n", 4, "n", "s", "w")
+			w.run(3 * time.Second)
+			befall(w)
+			w.run(10 * time.Second)
+			for _, c := range w.seen {
+				if c.To == Lost {
+					t.Fatalf("%+v", c)
+				}
+			}
+			for _, v := range w.m.Views() {
+				if v.State != Well {
+					t.Errorf("%s stays %v", v.Site, v.State)
+				}
+			}
+		})
+	}
+}
+
+// A suspicion that nothing more speaks for ends by itself.
+func TestSuspicionEnds(t *testing.T) {
+	w := newWorld(t, "n", 4, "n", "s", "w")
+	w.run(3 * time.Second)
+	w.lose("s", Silent)
+	w.run(150 * ms)
+	w.is("s", Suspected, SiteLost)
+	w.back("s")
+	w.run(100 * ms)
+	w.is("s", Well, Unclear)
+}
+
+// A router that is cut off from a site that lives can tell: the site's banks go on committing. One that reaches no other site is alone.
+func TestCutOffAndAlone(t *testing.T) {
+	w := newWorld(t, "n", 4, "n", "s", "w")
+	w.run(3 * time.Second)
+	w.lose("s", Silent)
+	w.run(2 * time.Second)
+	w.is("s", Lost, SiteLost)
+	w.step(ms, Applied{Machine: "n1", Upto: w.now})
+	w.is("s", Lost, CutOff)
+
+	w = newWorld(t, "n", 4, "n", "s", "w")
+	w.run(3 * time.Second)
+	w.lose("s", Silent)
+	w.lose("w", Silent)
+	w.run(2 * time.Second)
+	w.is("s", Lost, Alone)
+	w.is("w", Lost, Alone)
+	w.is("n", Well, Unclear)
+
+	// Of two sites one can't tell whose side the fault is on; the list can.
+	w = newWorld(t, "n", 4, "n", "s")
+	w.run(3 * time.Second)
+	w.lose("s", Silent)
+	w.run(2 * time.Second)
+	w.is("s", Lost, Unclear)
+	for i := range 3 {
+		w.step(ms, Listed{Machine: fmt.Sprint("s", i), Site: "s", Bank: int64(i), State: Gone})
+	}
+	w.is("s", Lost, Discovery)
+}
+
+// The second site is lost while the first one returns, and half of it.
+func TestSecondSiteWhileTheFirstReturns(t *testing.T) {
+	w := newWorld(t, "n", 4, "n", "s", "w")
+	w.run(3 * time.Second)
+	w.lose("s", Refused)
+	w.run(2 * time.Second)
+	w.back("s")
+	w.run(500 * ms)
+	w.is("s", Returning, SiteLost)
+	w.lose("w", Silent)
+	w.run(2 * time.Second)
+	w.is("w", Lost, SiteLost)
+	w.is("s", Returning, SiteLost)
+	w.run(5 * time.Second)
+	w.is("s", Settled, SiteLost)
+}
+
+// A site that flaps has to answer for longer each time before it is taken back, up to a bound.
+func TestFlappingWaitsLonger(t *testing.T) {
+	w := newWorld(t, "n", 4, "n", "s", "w")
+	w.run(3 * time.Second)
+	var lost []time.Duration
+	for range 9 {
+		w.lose("s", Refused)
+		w.run(1500 * ms)
+		at := w.now
+		w.back("s")
+		for w.run(50 * ms); ; w.run(50 * ms) {
+			if v := w.m.Views()[1]; v.State == Returning {
+				break
+			}
+			if w.now-at > time.Minute {
+				t.Fatal("it never returns")
+			}
+		}
+		lost = append(lost, w.now-at)
+		w.run(1500 * ms)
+	}
+	if lost[0] > 200*ms || lost[5] < 5*time.Second || lost[8] > lost[7]+200*ms {
+		t.Errorf("%v", lost)
+	}
+	w.run(10 * time.Minute)
+	w.is("s", Well, Unclear)
+}
+
+// Machines that come back under new ids are the site's return.
+func TestReturnUnderNewIDs(t *testing.T) {
+	w := newWorld(t, "n", 4, "n", "s", "w")
+	w.run(3 * time.Second)
+	w.lose("s", Silent)
+	w.run(2 * time.Second)
+	var ids []string
+	for _, id := range w.ids {
+		if w.site[id] != "s" {
+			ids = append(ids, id)
+		}
+	}
+	for i := range 4 {
+		id := fmt.Sprint("new", i)
+		ids, w.site[id] = append(ids, id), "s"
+		w.step(ms, Listed{Machine: id, Site: "s", Bank: int64(i)})
+	}
+	w.ids = ids
+	w.step(ms, Whole{Machines: ids})
+	w.run(time.Second)
+	for i := range 4 { // the old ones are off the list for good
+		w.step(ms, Listed{Machine: fmt.Sprint("s", i), Site: "s", Bank: int64(i), State: Draining})
+	}
+	w.run(20 * time.Second)
+	w.is("s", Well, Unclear)
+}
+
+// What operators declare holds until its time; a site that nobody knows is nothing.
+func TestDeclared(t *testing.T) {
+	w := newWorld(t, "n", 4, "n", "s", "w")
+	w.run(3 * time.Second)
+	w.step(ms, Declare{Site: "s", Until: w.now + 5*time.Second}, Declare{Site: "nowhere", Until: w.now + time.Hour})
+	if c := w.seen[len(w.seen)-1]; c.To != Lost || !strings.HasPrefix(c.Evidence, "declared by an operator") {
+		t.Fatalf("%+v", c)
+	}
+	w.run(4 * time.Second)
+	if v := w.m.Views(); v[1].State != Lost || len(v) != 3 {
+		t.Fatalf("%+v", v)
+	}
+	w.run(20 * time.Second)
+	w.is("s", Well, Unclear)
+}
+
+// Whatever happens, a site is in a state with an exit: once all answer for long it is well, whatever came before; what is followed is
+// bounded; and a list of nothing leaves nothing.
+func TestEveryStateHasAnExit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := config(rapid.SampledFrom([]string{"", "n", "s"}).Draw(t, "own"))
+		cfg.Most = 9
+		m := New(cfg)
+		now := 50 * time.Second
+		names := []string{"n", "s", "w"}
+		id := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("m", rapid.IntRange(0, 11).Draw(t, "m")) })
+		last := map[string]State{}
+		step := func(events ...Event) {
+			for _, a := range m.Step(now, events) {
+				if c, ok := a.(Changed); ok {
+					if last[c.Site] != c.From || c.From == c.To {
+						t.Fatalf("%+v, it was %v", c, last[c.Site])
+					}
+					last[c.Site] = c.To
+				}
+			}
+			for s := range last {
+				if m.sites[s] == nil {
+					delete(last, s)
+				}
+			}
+			if len(m.machines) > cfg.Most {
+				t.Fatalf("%d machines", len(m.machines))
+			}
+		}
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			var e Event
+			switch rapid.IntRange(0, 7).Draw(t, "kind") {
+			case 0, 1:
+				e = Listed{Machine: id.Draw(t, "id"), Site: rapid.SampledFrom(names).Draw(t, "site"), Bank: rapid.Int64Range(0, 3).Draw(t, "bank"), State: ListState(rapid.IntRange(0, 2).Draw(t, "state"))}
+			case 2:
+				e = Heard{id.Draw(t, "id")}
+			case 3, 4:
+				e = Failed{id.Draw(t, "id"), Failure(rapid.IntRange(0, 2).Draw(t, "why"))}
+			case 5:
+				e = Applied{Machine: id.Draw(t, "id"), Upto: now}
+			case 6:
+				e = Declare{Site: rapid.SampledFrom(names).Draw(t, "site"), Until: now + time.Duration(rapid.IntRange(0, 5).Draw(t, "until"))*time.Second}
+			default:
+				e = Whole{Machines: rapid.SliceOfN(id, 0, 6).Draw(t, "whole")}
+			}
+			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * ms
+			step(e)
+		}
+		for range 2 { // all answer, for longer than the longest wait
+			for end := now + 5*time.Minute; now < end; now += 500 * ms {
+				var events []Event
+				for id, x := range m.machines {
+					if x.gone {
+						events = append(events, Listed{Machine: id, Site: x.site, Bank: x.bank})
+					}
+					events = append(events, Heard{id})
+				}
+				step(events...)
+			}
+		}
+		for _, v := range m.Views() {
+			if v.State != Well {
+				t.Fatalf("%s stays %v", v.Site, v.State)
+			}
+		}
+		step(Whole{})
+		if len(m.machines) > 0 || len(m.sites) > 0 {
+			t.Fatal("something is left of an empty list")
+		}
+	})
+}
