Reports on sockets tell what was measured; the rig's routers keep their addresses

Reports of the real program showed attempts, probes, dials and requests in flight as 0, refusals by reason on an axis to 1e-09, and an unknown revision. What reaches the machines and what clients wait for is counted now; what only the router could tell is left out. Faults are drawn over all of their time, to the return.

Its ports had been free a moment before the router bound them, on an address that all share. Each router has an address of loopback of its own now, and a rig that does not come up says what each log ends with. Also: a request with less than a millisecond left asked for d=0 and was answered 42601; it has expired.

--- a/cmd/limelab/main_test.go
+++ b/cmd/limelab/main_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 )
@@ -104,6 +105,9 @@
 }
 
 // The real program before emulated machines on sockets: a failover is played, and the first hour's lines are right.
+// zero is a figure that says 0 where it was not measured.
+var zero = regexp.MustCompile(`<div>(attempts|probes|dials)<b>0</b>`)
+
 func TestOnSockets(t *testing.T) {
 	dir := t.TempDir()
 	if out, err := exec.Command("go", "build", "-o", dir+"/", ".", "../limeladder").CombinedOutput(); err != nil {
@@ -116,7 +120,8 @@
 	if got := out.String(); !strings.Contains(got, "worth 0.") || !strings.Contains(got, "submit-job") {
 		t.Fatal(got)
 	}
-	if p, err := os.ReadFile(dir + "/demo.html"); err != nil || strings.Count(string(p), "<svg ") != 8 || !strings.Contains(string(p), "kill primary:1") {
+	if p, err := os.ReadFile(dir + "/demo.html"); err != nil || strings.Count(string(p), "<svg ") != 7 || !strings.Contains(string(p), "kill primary:1, for 1.2 s") ||
+		strings.Contains(string(p), "revision unknown") || strings.Contains(string(p), "Refused by routers") || zero.Match(p) || !strings.Contains(string(p), "<div>attempts<b>") {
 		t.Fatal(err, len(p))
 	}
 	listen, err := port()
--- a/cmd/limelab/sockets.go
+++ b/cmd/limelab/sockets.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -231,6 +232,10 @@
 	defer st.stop()
 	res := &fleet.Result{Seed: seed, Rules: map[string]int{}}
 	res.Names = slices.Sorted(maps.Keys(st.host.Members()))
+	// What the router alone could tell is left out; what reaches the machines, and what clients wait for, is counted there.
+	res.Unseen = []string{"rules", "refusals", "pushed_over"}
+	var open atomic.Int64
+	before := st.host.Count()
 	stop, stopped := make(chan bool), make(chan bool)
 	at := st.host.Sample().At
 	go func() {
@@ -244,6 +249,7 @@
 			case <-tick.C:
 				x := st.host.Sample()
 				x.At -= at
+				x.InHand = int(open.Load())
 				res.Series = append(res.Series, x)
 			}
 		}
@@ -253,9 +259,11 @@
 		addr = st.second
 	}
 	got, err := load.Run(load.Options{Addr: addr, Extended: extended, Rate: cfg.Rate(), Length: cfg.Length, Conns: 1000, Arrivals: arrivalsOf(cfg), Bursts: cfg.Bursts, Shape: cfg.Shape, Classes: cfg.Classes,
-		Banks: cfg.Banks, Sessions: cfg.Sessions, Retries: cfg.Retries, Honour: cfg.Honour, Backoff: cfg.Backoff, Seed: seed, Progress: progress})
+		Banks: cfg.Banks, Sessions: cfg.Sessions, Retries: cfg.Retries, Honour: cfg.Honour, Backoff: cfg.Backoff, Seed: seed, Open: &open, Progress: progress})
 	close(stop)
 	<-stopped
+	after := st.host.Count()
+	res.Count = fleet.Count{Attempts: after.Attempts - before.Attempts, Dials: after.Dials - before.Dials, Probes: after.Probes - before.Probes}
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -213,7 +213,7 @@
 
 // befall carries out a fault.
 func (f *Fleet) befall(x Fault) {
-	f.obs.marks = append(f.obs.marks, Mark{At: f.clock.Now() - start, Text: strings.TrimSpace(x.What + " " + strings.Join(x.Who, " "))})
+	f.obs.marks = append(f.obs.marks, Mark{At: f.clock.Now() - start, Text: strings.TrimSpace(x.What + " " + strings.Join(x.Who, " ")), For: x.For})
 	switch x.What {
 	case "discovery":
 		f.directory.down = f.clock.Now() + x.For
--- a/internal/lab/fleet/observe.go
+++ b/internal/lab/fleet/observe.go
@@ -53,6 +53,7 @@
 type Mark struct {
 	At   time.Duration
 	Text string
+	For  time.Duration // how long it lasts: to the return of what is lost; 0 = a moment
 }
 
 // Second is what came in one second and what became of it.
@@ -103,7 +104,7 @@
 			down[m] = is
 			if is && strings.HasPrefix(m.Cause(), "pushed over") {
 				f.obs.pushed++
-				f.obs.marks = append(f.obs.marks, Mark{f.clock.Now() - start, m.ID + " " + m.Cause()})
+				f.obs.marks = append(f.obs.marks, Mark{At: f.clock.Now() - start, Text: m.ID + " " + m.Cause()})
 				if m.Cold() {
 					f.obs.fault("cold", "%s was %s", m.ID, m.Cause())
 				}
@@ -243,7 +244,8 @@
 	Latency []float64  // quantiles 0.5, 0.9, 0.99, 0.999 of what was served, seconds
 	Curve   []Quantile // the whole of it
 	Changes int
-	Pushed  int // machines that were pushed over, cold or warm
+	Pushed  int      // machines that were pushed over, cold or warm
+	Unseen  []string // figures that were not measured in this run
 }
 
 // Quantile is a point of the curve of latencies.
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +43,7 @@
 	Honour   float64
 	Backoff  time.Duration
 	Seed     uint64
+	Open     *atomic.Int64  // kept at how many requests are open, nil = not
 	Progress func(Progress) // called once a second, nil = never
 }
 
@@ -375,6 +377,9 @@
 		t.Ends[how]++
 	}
 	r.inHand--
+	if r.o.Open != nil {
+		r.o.Open.Store(int64(r.inHand))
+	}
 	r.open.Done()
 }
 
@@ -386,7 +391,7 @@
 		r.mu.Lock()
 		p.busy++
 		r.mu.Unlock()
-		if left := q.class.GiveUp - time.Since(q.due); left <= 0 {
+		if left := q.class.GiveUp - time.Since(q.due); left < time.Millisecond { // d is told in whole milliseconds
 			r.ended(q, expired, "")
 		} else {
 			if c == nil {
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -8,6 +8,7 @@
 	"image/color"
 	"io"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -38,6 +39,7 @@
 	purple = color.RGBA{0x7a, 0x3e, 0x9d, 0xff}
 	grey   = color.RGBA{0x77, 0x77, 0x77, 0xff}
 	light  = color.RGBA{0xcc, 0xcc, 0xcc, 0xff}
+	shade  = color.RGBA{0x12, 0x09, 0x18, 0x1c} // over what stands below
 )
 
 const mostMachines = 60 // that are drawn one by one
@@ -78,12 +80,19 @@
 	r := run.Result
 	p := page{Title: run.Scenario.Name, About: run.Scenario.About, Arm: run.Arm, Revision: run.Revision, Seed: r.Seed, Short: run.Short}
 	for _, name := range scenario.Figures {
+		if slices.Contains(r.Unseen, name) {
+			continue
+		}
 		v, _ := scenario.Figure(r, name)
 		p.Summary = append(p.Summary, row{strings.ReplaceAll(name, "_", " "), fmt.Sprintf("%.4g", v)})
 	}
 	p.Rules = r.Words
 	for _, m := range r.Marks {
-		p.Marks = append(p.Marks, row{fmt.Sprintf("%.1f s", m.At.Seconds()), m.Text})
+		text := m.Text
+		if m.For > 0 {
+			text += fmt.Sprintf(", for %.1f s", m.For.Seconds())
+		}
+		p.Marks = append(p.Marks, row{fmt.Sprintf("%.1f s", m.At.Seconds()), text})
 	}
 	for _, k := range run.Scenario.Config.Classes {
 		t := r.Tally[k.Name]
@@ -96,8 +105,17 @@
 		}
 		p.Classes = append(p.Classes, cells)
 	}
-	for _, f := range []func(*fleet.Result) (figure, error){worth, endings, refusals, quantiles, inHand, load, capacity, lag} {
-		x, err := f(r)
+	if run.Revision == "unknown" {
+		p.Revision = ""
+	}
+	for _, f := range []struct {
+		name string
+		draw func(*fleet.Result) (figure, error)
+	}{{"worth", worth}, {"endings", endings}, {"refusals", refusals}, {"quantiles", quantiles}, {"open", inHand}, {"load", load}, {"capacity", capacity}, {"lag", lag}} {
+		if slices.Contains(r.Unseen, f.name) {
+			continue
+		}
+		x, err := f.draw(r)
 		if err != nil {
 			return err
 		}
@@ -136,7 +154,7 @@
 	return draws("How requests ended", "By the second in which they were asked for.", "requests", r, 0, append(all, late)...)
 }
 
-// refusals are the routers' own, in process: on sockets nobody sees them but clients.
+// refusals are the routers' own; on sockets nobody sees their reasons, and they are left out.
 func refusals(r *fleet.Result) (figure, error) {
 	unsent, tried := series{name: "never sent", ink: orange, wide: 1.5}, series{name: "behind attempts", ink: purple, wide: 1.5}
 	for t, x := range r.Seconds {
@@ -232,7 +250,7 @@
 	grid := plotter.NewGrid()
 	grid.Vertical.Color, grid.Horizontal.Color = nil, light
 	p.Add(grid)
-	high, lines := most, []legend(nil)
+	high, last, lines := most, 0.0, []legend(nil)
 	for _, s := range all {
 		for i, xy := range parts(s.xy) {
 			l, err := plotter.NewLine(xy)
@@ -246,12 +264,23 @@
 				lines = append(lines, legend{s.name, fmt.Sprintf("#%02x%02x%02x", r>>8, g>>8, b>>8)})
 			}
 			for _, v := range xy {
-				high = max(high, v.Y)
+				high, last = max(high, v.Y), max(last, v.X)
 			}
 		}
 	}
-	p.Y.Min, p.Y.Max = 0, max(high*1.05, 1e-9)
+	if p.Y.Min, p.Y.Max = 0, high*1.05; high == 0 {
+		p.Y.Max = 1
+	}
 	for _, m := range marks {
+		if m.For > 0 { // all of its time, to the return
+			from, to := m.At.Seconds(), min((m.At + m.For).Seconds(), max(last, m.At.Seconds()))
+			band, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: p.Y.Max}, {X: from, Y: p.Y.Max}})
+			if err != nil {
+				return figure{}, err
+			}
+			band.Color, band.LineStyle.Width = shade, 0
+			p.Add(band)
+		}
 		l, err := plotter.NewLine(plotter.XYs{{X: m.At.Seconds(), Y: 0}, {X: m.At.Seconds(), Y: p.Y.Max}})
 		if err != nil {
 			return figure{}, err
@@ -289,11 +318,11 @@
 td:first-child,th:first-child{text-align:left}
 </style></head><body>
 <h1>{{.Title}}</h1><p>{{.About}}</p>
-<p class="note">Seed {{.Seed}}, arm {{.Arm}}, revision {{.Revision}}</p>
+<p class="note">Seed {{.Seed}}, arm {{.Arm}}{{if .Revision}}, revision {{.Revision}}{{end}}</p>
 {{if .Rules}}<div class="bad"><b>Rules were broken</b><ul>{{range .Rules}}<li>{{.}}</li>{{end}}</ul></div>{{end}}
 {{if .Short}}<div class="bad"><b>Not as expected</b><ul>{{range .Short}}<li>{{.}}</li>{{end}}</ul></div>{{end}}
 <h2>In figures</h2><div class="sum">{{range .Summary}}<div>{{.Name}}<b>{{.Value}}</b></div>{{end}}</div>
-{{if .Marks}}<h2>What befell the fleet</h2><p class="note">Dashed lines in the plots.</p><div class="wide"><table><tr><th>at</th><th>what</th></tr>{{range .Marks}}<tr><td>{{.Name}}</td><td>{{.Value}}</td></tr>{{end}}</table></div>{{end}}
+{{if .Marks}}<h2>What befell the fleet</h2><p class="note">Dashed lines in the plots, shaded until it is over.</p><div class="wide"><table><tr><th>at</th><th>what</th></tr>{{range .Marks}}<tr><td>{{.Name}}</td><td>{{.Value}}</td></tr>{{end}}</table></div>{{end}}
 <h2>Over time</h2><div class="plots">{{range .Figures}}<figure><h2>{{.Title}}</h2><figcaption>{{.Note}}{{range .Lines}} <span style="white-space:nowrap"><span style="color:{{.Ink}}">&#9632;</span> {{.Name}}</span>{{end}}</figcaption>{{.SVG}}</figure>{{end}}</div>
 <h2>By class</h2><div class="wide"><table><tr><th>class</th><th>asked</th><th>worth</th><th>late</th><th>served</th><th>refused</th><th>failed</th><th>expired</th><th>left</th></tr>
 {{range .Classes}}<tr>{{range .}}<td>{{.}}</td>{{end}}</tr>{{end}}</table></div>
--- a/internal/lab/rig/clients/clients.go
+++ b/internal/lab/rig/clients/clients.go
@@ -253,7 +253,7 @@
 	defer c.open.Done()
 	for {
 		left := q.class.GiveUp - time.Since(q.due)
-		if left <= 0 {
+		if left < time.Millisecond { // d is told in whole milliseconds
 			c.ended(q, expired)
 			return
 		}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -166,10 +167,11 @@
 	if cfg.Pushed {
 		asks = v.listen
 	}
-	listen, operator, err := ports()
+	ip, err := host()
 	if err != nil {
 		return err
 	}
+	listen, operator := ip+":6432", ip+":9600"
 	p.began = v.began
 	p.settings = func() ([]byte, error) {
 		text, err := r.host.SettingsFor(standins.Seat{Name: name, Listen: listen, Operator: operator, Zone: site, Discovery: asks, Known: v.known(),
@@ -184,18 +186,19 @@
 	return p.start()
 }
 
-// ports are two on loopback that are free now.
-func ports() (a, b string, err error) {
-	var out [2]string
-	for i := range out {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", "", err
+// host is an address of loopback that nobody else listens on. A port that was free a moment ago on an address that all share may be
+// somebody's a moment later, before the router has bound it; here nobody but the router asks for one.
+func host() (string, error) {
+	var err error
+	for range 100 {
+		ip := fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", ip+":6432"); err == nil {
+			ln.Close()
+			return ip, nil
 		}
-		defer ln.Close()
-		out[i] = ln.Addr().String()
 	}
-	return out[0], out[1], nil
+	return "", fmt.Errorf("no address on loopback: %w", err)
 }
 
 // doors are the ways of each site's clients to the routers of it, and to the others.
@@ -233,7 +236,7 @@
 		Retries: cfg.Retries, Honour: cfg.Honour, Backoff: cfg.Backoff, Notice: r.o.Notice, Seed: r.o.Seed}, r.log)
 	for end := time.Now().Add(30 * time.Second); c.Up() < cfg.Routers; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
-			return nil, fmt.Errorf("%d of %d routers are ready after 30 s; their logs are in %s", c.Up(), cfg.Routers, r.o.Dir)
+			return nil, fmt.Errorf("%d of %d routers are ready after 30 s; their logs end with %s", c.Up(), cfg.Routers, r.lastWords())
 		}
 	}
 	for _, p := range r.routers {
@@ -259,6 +262,17 @@
 	return res, r.write(res)
 }
 
+// lastWords is the last line of each router's log.
+func (r *Rig) lastWords() string {
+	var out []string
+	for _, p := range r.routers {
+		text, _ := os.ReadFile(filepath.Join(p.dir, fmt.Sprintf("log.%d", p.Life())))
+		lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+		out = append(out, fmt.Sprintf("%s: %q", p.Name, lines[len(lines)-1]))
+	}
+	return strings.Join(out, "; ")
+}
+
 // lateness is how much later than its time an answer may come: the contract's 50 ms, and what the rig itself may be late on a busy
 // machine.
 const lateness = 250 * time.Millisecond
--- a/internal/lab/standins/host.go
+++ b/internal/lab/standins/host.go
@@ -60,6 +60,7 @@
 	list    *directory
 	marks   []fleet.Mark
 	pushed  []string // machines that were pushed over while cold
+	count   fleet.Count
 	stopped bool
 }
 
@@ -106,6 +107,12 @@
 // Observe sets who is told; it is called before any router is started.
 func (h *Host) Observe(o Observer) { h.observer = o }
 
+// Count is what has reached the machines: statements that came whole, connections that were welcomed, and probes.
+func (h *Host) Count() (c fleet.Count) {
+	h.with(func() { c = h.count })
+	return c
+}
+
 // Pushed are the machines that were pushed over while they were cold, so far.
 func (h *Host) Pushed() (ids []string) {
 	h.with(func() { ids = append(ids, h.pushed...) })
@@ -214,7 +221,7 @@
 func (h *Host) Befall(x fleet.Fault) { h.with(func() { h.befall(x) }) }
 
 func (h *Host) befall(x fleet.Fault) {
-	h.marks = append(h.marks, fleet.Mark{At: h.clock.Now() - time.Duration(h.begin.UnixNano()), Text: strings.TrimSpace(x.What + " " + strings.Join(x.Who, " "))})
+	h.marks = append(h.marks, fleet.Mark{At: h.clock.Now() - time.Duration(h.begin.UnixNano()), Text: strings.TrimSpace(x.What + " " + strings.Join(x.Who, " ")), For: x.For})
 	if x.What == "discovery" {
 		h.list.down = h.clock.Now() + x.For
 		return
--- a/internal/lab/standins/session.go
+++ b/internal/lab/standins/session.go
@@ -175,6 +175,7 @@
 		return false
 	}
 	x.epoch = e.epoch
+	x.s.h.with(func() { x.s.h.count.Dials++ })
 	_, err := x.c.Write(pgwire.AppendWelcome(nil))
 	return err == nil
 }
@@ -197,7 +198,10 @@
 		ok bool
 	}
 	ch := make(chan end, 1)
-	x.s.h.with(func() { x.s.m.Ask(func(r model.Report, ok bool) { ch <- end{r, ok} }) })
+	x.s.h.with(func() {
+		x.s.h.count.Probes++
+		x.s.m.Ask(func(r model.Report, ok bool) { ch <- end{r, ok} })
+	})
 	e, ok := wait(x, ch)
 	if !ok || !e.ok {
 		return false
@@ -280,6 +284,7 @@
 			x.work = nil
 			ch <- Ending{o, pos, primary}
 		}
+		h.count.Attempts++
 		if h.observer != nil {
 			h.observer.Came(v)
 		}
