--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -232,6 +232,37 @@
 	h.sent(h.step(ms, h.request("write")), "a")
 }
 
+// A role that the list says 4 s late, behind two changes, moves no write: answers have told what came since.
+func TestRoleOfTheListFourSecondsOld(t *testing.T) {
+	h := ready(t, base()) // a leads
+	list := func(leads string) List {
+		l := three(ListDelta)
+		for i := range l.Entries {
+			l.Entries[i].Primary = l.Entries[i].Node == leads
+		}
+		return l
+	}
+	h.step(ms, list("a"))
+	answer := func(n string, role Role) Outcome {
+		return Outcome{ID: fmt.Sprint("q", h.n), Node: n, Status: Done, Took: ms, Finished: true, Role: role, Position: h.now}
+	}
+	write := func(want string) {
+		t.Helper()
+		h.sent(h.step(ms, h.request("write")), want)
+		h.step(ms, answer(want, RolePrimary))
+	}
+	write("a")
+	for _, change := range [][2]string{{"a", "b"}, {"b", "c"}} { // each says that it leads no more, the next one that it does
+		h.step(100*ms, ProbeResult{Node: change[0], Status: Done, Role: RoleReplica, Position: h.now})
+		h.step(100*ms, ProbeResult{Node: change[1], Status: Done, Role: RolePrimary, Position: h.now})
+		write(change[1])
+	}
+	for _, late := range []string{"b", "b", "a", "c"} { // in any order, again, and of what has been denied since
+		h.step(2*time.Second, list(late))
+		write("c")
+	}
+}
+
 func TestListNamesThePrimaryOfAnUnknownGroup(t *testing.T) {
 	l := three(ListCached)
 	l.Entries[2].Primary = true
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -273,7 +273,7 @@
 	}
 	for _, m := range marks {
 		if m.For > 0 { // all of its time, to the return
-			from, to := m.At.Seconds(), min((m.At + m.For).Seconds(), max(last, m.At.Seconds()))
+			from, to := m.At.Seconds(), min((m.At+m.For).Seconds(), max(last, m.At.Seconds()))
 			band, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: p.Y.Max}, {X: from, Y: p.Y.Max}})
 			if err != nil {
 				return figure{}, err
--- a/internal/list/follow_test.go
+++ b/internal/list/follow_test.go
@@ -126,3 +126,26 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+// What an agent is sent between two watches of a router, or several times in one, is heard with the next call.
+func TestFollowHearsWhatCameBetweenWatches(t *testing.T) {
+	s, a := follow(t, 500*time.Millisecond)
+	for i := range 200 {
+		state := []string{"ready", "draining"}[i%2]
+		a.Push(config.Entry{ID: "s", Addr: "127.0.0.1:1", State: state})
+		if i%3 == 0 { // at once behind an answer: the next call may not be out yet
+			continue
+		}
+		for end := time.Now().Add(20 * time.Second); ; {
+			if got := next(t, s); got.Version >= int64(i)+2 {
+				if got.Servers[0].State != state {
+					t.Fatalf("change %d: %+v", i, got)
+				}
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatalf("change %d is not heard", i)
+			}
+		}
+	}
+}
