--- a/balance/balance.go
+++ b/balance/balance.go
@@ -847,7 +847,7 @@
 	n.credit = min(most, n.credit+rate*(r.now-n.creditAt).Seconds())
 	n.creditAt, n.most = r.now, most
 	// Few are held at a time: work worth less than half of the best leaves credit that the best could use.
-	reserve := min(most-cost, creditMost*r.bestLat) * reserved * max(0, 1-2*q.rank/max(r.best, math.SmallestNonzeroFloat64))
+	reserve := min(most-cost, creditMost*r.bestLat) * reserved * r.lesser(q)
 	return n.credit >= cost+reserve, cost, most
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -94,6 +94,11 @@
 	ranZone            string
 }
 
+// lesser is how far a request ranks below half of the best: 0 = not at all, 1 = it is worth nothing.
+func (r *Router) lesser(q *request) float64 {
+	return max(0, 1-2*q.rank/max(r.best, math.SmallestNonzeroFloat64))
+}
+
 // spent is how many attempts a request has used.
 func (q *request) spent() int { return len(q.tries) + q.tried }
 
