Test: a whole list is asked for at the start wherever lists are pushed

docs/design/deployments.md named TestPushedIsHeardWithinTheGrace for this assumption (Limits.ListKnown) and the test did not look at it. Seen while reading the change again; it now fails if Pushed keeps ListKnown or a fleet of 80 that asks loses it. The program is unchanged.

--- a/internal/list/follow_test.go
+++ b/internal/list/follow_test.go
@@ -105,6 +105,10 @@
 			t.Errorf("grace %v: a first wait is long", grace)
 		}
 	}
+	// A whole list costs nobody anything here, however many routers there are; asked for, it does in a large fleet.
+	if l := limits.For(192, 1024, 250*time.Millisecond, time.Second, time.Second).Among(80); !l.ListKnown || l.Pushed(time.Second).ListKnown {
+		t.Error("a whole list is taken for dear where it is pushed, or for cheap where 80 ask for it")
+	}
 	for _, grace := range []time.Duration{0, time.Millisecond} {
 		if l := limits.For(192, 1024, 250*time.Millisecond, time.Second, time.Second).Pushed(grace); l.WatchWait < 20*time.Millisecond || l.ListAgain < 20*time.Millisecond {
 			t.Errorf("grace %v: asks all the time, %+v", grace, l)
