--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,8 +53,7 @@
 	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), nodes: map[string]*node{},
 		groups: map[int64]*group{}, classes: map[string]*class{}, tenants: map[string]*bucket{},
 		reqs: map[string]*request{}, sessions: map[int64]commit{}, repeats: retryMost, probes: probeFirst,
-		barred:   map[string]bool{},
-		trackGap: trialFirst}
+		barred: map[string]bool{}, trackGap: trialFirst}
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
@@ -459,6 +458,7 @@
 
 // finish answers a request that is given up on, at once. A refusal says that a retry does no harm.
 func (r *Router) finish(q *request) {
+	r.turned(q)
 	if q.mayRun && (q.class.Effect == Unsafe || q.class.Effect == Keyed && q.class.Scope != ScopeAll) {
 		r.do(Fail{ID: q.id})
 	} else {
@@ -522,7 +522,7 @@
 			continue
 		} else if q.ended || r.now >= r.useless(q) {
 			r.finish(q)
-		} else if n := r.pick(q); n != nil {
+		} else if n := r.pick(q); n != nil && !r.yields(q, n) {
 			r.send(q, n)
 		} else {
 			kept = append(kept, q)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1874,3 +1874,88 @@
 		}
 	}
 }
+
+// scarce is a rig with a long class whose bounded reads have just been refused for want of room, and its replica b is recent again.
+func scarce(t *testing.T, work float64) *rig {
+	c := base()
+	c.Classes[1].Worth = 2
+	c.Classes = append(c.Classes, Class{Name: "long", Aim: 5 * time.Second, GiveUp: 10 * time.Second, Worth: 6, LateShare: 0.2, Need: NeedAny})
+	h := ready(t, c)
+	long := h.r.classes["long"]
+	long.work, long.lat = work, 1
+	h.r.classes["bounded"].work = 0.06
+	h.r.groups[1].longAt = h.now + 4*time.Second
+	for _, n := range h.r.nodes {
+		n.restAt = h.now + time.Second // all are full
+	}
+	for range 80 {
+		h.step(0, h.request("bounded"))
+	}
+	refused := 0
+	for range 12 {
+		refused += len(pick[Refuse](h.step(50 * ms)))
+	}
+	if refused < 20 {
+		t.Fatalf("%d refused", refused)
+	}
+	for h.now < h.r.nodes["a"].restAt {
+		h.step(50 * ms)
+	}
+	h.reports("a")
+	return h
+}
+
+func (h *rig) long() []Send {
+	q := h.request("long")
+	q.Expires = 10 * time.Second
+	return slices.DeleteFunc(pick[Send](h.step(0, q)), func(s Send) bool { return s.ID != q.ID })
+}
+
+// While bounded reads are refused beside a primary, a long read, which would cost them its replica, is held back: not for good, and only
+// where that would help.
+func TestLongReadsYieldToBoundedOnesThatWereRefused(t *testing.T) {
+	h := scarce(t, 1)
+	if got := h.long(); len(got) > 0 {
+		t.Fatalf("sent at once: %v", got)
+	}
+	at := h.now
+	for len(pick[Send](h.step(100*ms, Wake{}))) == 0 {
+		if h.now-at > 4*time.Second {
+			t.Fatal("held back behind its turn")
+		}
+	}
+	t.Logf("sent after %v", h.now-at)
+	for name, c := range map[string]struct {
+		work float64
+		set  func(h *rig)
+	}{
+		"one that costs no more than they do": {0.2, func(*rig) {}},
+		"its turn has come":                   {1, func(h *rig) { h.r.groups[1].longAt = h.now }},
+		"none was refused for long":           {1, func(h *rig) { h.now += 20 * time.Second; h.reports("a") }},
+		"its replica could not catch up":      {1, func(h *rig) { h.r.nodes["c"].lag, h.r.nodes["c"].lagAt = 5*time.Second, h.now }},
+		"it is worth more":                    {1, func(h *rig) { k := h.r.classes["long"]; k.Worth = 1000 }},
+	} {
+		h := scarce(t, c.work)
+		if c.set(h); len(h.long()) != 1 {
+			t.Errorf("%s: it is held back", name)
+		}
+	}
+}
+
+// What is refused while a bank has no primary says nothing of room.
+func TestRefusalsWithoutAPrimaryHoldBackNoLongRead(t *testing.T) {
+	h := scarce(t, 1)
+	g := h.r.groups[1]
+	g.shortBy, g.longAt = 0, h.now+time.Hour
+	h.r.soil(g, "a test")
+	q := &request{class: h.r.classes["bounded"], group: g, worth: 50}
+	h.r.turned(q)
+	if len(h.long()) != 1 {
+		t.Error("it is held back")
+	}
+	g.state = usable
+	h.r.turned(q)
+	if len(h.long()) != 0 {
+		t.Error("a refusal beside a primary does not count")
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -31,7 +31,10 @@
 	asked            bool     // the probes of the first use are out
 	lookAt           Time     // the next round of probes for a missing primary
 	lookGap          time.Duration
-	usedAt, wantedAt Time // the last request; the last weak read that found no available replica
+	usedAt, wantedAt Time    // the last request; the last weak read that found no available replica
+	shortBy          float64 // worth of bounded reads that found no room,
+	shortAt          Time    // when it was counted
+	longAt           Time    // the next long read may go then, while shortBy is much
 }
 
 type node struct {
@@ -320,24 +323,71 @@
 // queue, of all instances together, until they time out, while others idle. There they get as large a part of the group as
 // long reads are of the work: that is the same at each instance, whatever traffic it has.
 func (r *Router) last(g *group, among []*node) []*node {
-	var replicas []*node
+	takers := r.takers(g)
+	own := slices.DeleteFunc(slices.Clone(among), func(n *node) bool { return !slices.Contains(takers, n) })
+	if len(own) == 0 {
+		own = append(own, slices.MaxFunc(among, byID))
+	}
+	return own
+}
+
+// takers are the replicas of a group that take its long reads.
+func (r *Router) takers(g *group) (all []*node) {
 	for _, n := range g.members {
 		if n.in() && n != g.primary {
-			replicas = append(replicas, n)
+			all = append(all, n)
 		}
 	}
 	most := 1
 	if r.startLimit() < 1 {
-		most = max(1, int(math.Round(r.longPart()*float64(len(replicas)))))
+		most = max(1, int(math.Round(r.longPart()*float64(len(all)))))
+	}
+	return all[max(0, len(all)-most):]
+}
+
+// longTimes is what a read costs beside a bounded one, at least, to be held back for those; of so many of its times a replica is
+// left to them for all but one; and one that is behind by more than so many such reads would not be of use to them soon.
+const longTimes = 4
+
+// yields says that a long read leaves n to bounded reads of the group that were refused lately.
+//
+// Danger: while a replica holds a long read it applies nothing, so it is lost to all bounded reads of its group. They are worth
+// many times as much for their work, and where other members are lost, crowded or cold they are refused for want of it. What
+// all instances have refused is about what this one has, times their number; a long read goes where that is worth less than
+// it in the time it takes, and of all instances one goes in longTimes of it, since nothing else shows that there is room again.
+// Danger: where the log is applied too slowly whoever reads, as on a slow machine, holding long reads back gains nothing.
+func (r *Router) yields(q *request, n *node) bool {
+	g, c := q.group, q.class
+	if n == g.primary || !r.long(c) {
+		return false
 	}
-	if most < len(replicas) {
-		replicas = replicas[len(replicas)-most:]
+	for _, k := range r.cfg.Classes {
+		if k.Need == NeedBounded && c.work < longTimes*r.classes[k.Name].work {
+			return false
+		}
 	}
-	own := slices.DeleteFunc(slices.Clone(among), func(n *node) bool { return !slices.Contains(replicas, n) })
-	if len(own) == 0 {
-		own = append(own, slices.MaxFunc(among, byID))
+	pace := r.instances() * longTimes * c.work
+	if g.longAt == 0 { // drawn, so that instances do not all send their first
+		g.longAt = r.now + seconds(pace*r.rng.Float64())
+	}
+	lost := g.short(r.now) / inUse.Seconds() * r.instances() * c.work
+	if lost > q.worth && r.now < g.longAt && n.lag <= r.bound+seconds(longTimes*c.work) {
+		return true
+	}
+	g.longAt = r.now + seconds(pace*(0.5+r.rng.Float64()))
+	return false
+}
+
+// short is the worth of bounded reads that found no room beside a primary, forgotten over inUse.
+func (g *group) short(now Time) float64 {
+	return g.shortBy * math.Exp(-(now-g.shortAt).Seconds()/inUse.Seconds())
+}
+
+// turned notes a request that is given up.
+func (r *Router) turned(q *request) {
+	if g := q.group; !q.written && q.class.Need == NeedBounded && !g.lost() {
+		g.shortBy, g.shortAt = g.short(r.now)+q.worth, r.now
 	}
-	return own
 }
 
 // longPart is the part of the work asked of this instance that long reads are.
--- a/cmd/limelab/main.go
+++ b/cmd/limelab/main.go
@@ -116,7 +116,7 @@
 		}
 		short += len(l.Short)
 		broken += len(l.Rules)
-		fmt.Fprintf(out, "seed %-4d %-20s worth %.3f (whole %.3f, worst 10 s %.3f, worst class %.3f)  p99 %.0f ms  refused %.3f\n", l.Seed, l.Arm, l.Figures["worth"],
+		fmt.Fprintf(out, "seed %-4d %-20s worth %.3f of %.3f (whole %.3f, worst 10 s %.3f, worst class %.3f)  p99 %.0f ms  refused %.3f\n", l.Seed, l.Arm, l.Figures["worth"], l.Figures["top"],
 			l.Figures["whole"], l.Figures["window"], l.Figures["class"], l.Figures["p99_ms"], l.Figures["refused"])
 		for _, w := range l.Words {
 			fmt.Fprintln(out, "  rule broken:", w)
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -332,3 +332,28 @@
 		}
 	}
 }
+
+// What the true state would allow is all of it where nothing befalls, less than that where a bank loses its primary, and never less than
+// what routers get.
+func TestTop(t *testing.T) {
+	for name, x := range map[string]struct {
+		faults      []Fault
+		least, most float64
+	}{
+		"calm":               {nil, 0.99, 1},
+		"a primary is lost":  {[]Fault{{At: 5 * time.Second, What: "kill", Who: []string{"primary:1"}}}, 0.85, 0.99},
+		"a bank is lost":     {[]Fault{{At: 5 * time.Second, What: "kill", Who: []string{"bank:1"}}}, 0.4, 0.85},
+		"all are slow":       {[]Fault{{At: 5 * time.Second, What: "slow", Who: []string{"bank:1", "bank:2", "bank:3", "bank:4"}, Part: 0.2}}, 0.3, 0.8},
+		"a replica too many": {[]Fault{{At: 5 * time.Second, What: "kill", Who: []string{"db1b"}}}, 0.99, 1},
+	} {
+		c := Default()
+		c.Length, c.Faults = 20*time.Second, x.faults
+		r, err := Run(c, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if t.Logf("%s: %.3f of %.3f", name, r.Worth, r.Top); r.Top < x.least || r.Top > x.most || r.Worth > r.Top+0.005 {
+			t.Errorf("%s: %.3f of %.3f, not within %.2f and %.2f", name, r.Worth, r.Top, x.least, x.most)
+		}
+	}
+}
--- a/internal/lab/fleet/observe.go
+++ b/internal/lab/fleet/observe.go
@@ -47,6 +47,7 @@
 	series  []Sample
 	lat     []float64 // seconds, of what was served
 	pushed  int
+	top     top
 }
 
 // Mark is a moment that plots show.
@@ -95,6 +96,7 @@
 func (f *Fleet) observe() {
 	f.obs = observer{f: f, asked: map[int]*request{}, faults: map[string]int{}, classes: map[string]*Tally{}}
 	f.obs.seconds = make([]Second, int((f.cfg.Length+time.Second-1)/time.Second))
+	f.obs.top = top{waiting: map[int64][]cohort{}, worth: make([]float64, len(f.obs.seconds)), tally: map[string]float64{}}
 	for _, k := range f.cfg.Classes {
 		f.obs.classes[k.Name] = &Tally{}
 	}
@@ -124,6 +126,7 @@
 
 func (o *observer) sample() {
 	now := o.f.clock.Now()
+	o.top.step(o.f.world, now)
 	s := Sample{At: now - start, InHand: o.f.inHand}
 	for _, m := range o.f.world.Machines {
 		s.Machines = append(s.Machines, Look(m, now))
@@ -156,6 +159,7 @@
 	t := o.classes[q.class.Name]
 	t.Came++
 	t.Could += q.class.Worth
+	o.top.came(q, o.second(q))
 }
 
 func (o *observer) second(q *request) int {
@@ -246,6 +250,7 @@
 	Changes int
 	Pushed  int      // machines that were pushed over, cold or warm
 	Unseen  []string // figures that were not measured in this run
+	Top     float64  // the worth that the true state, moved about as a fluid, would allow: the same parts weighed the same way
 }
 
 // Quantile is a point of the curve of latencies.
@@ -262,6 +267,7 @@
 	res := &Result{Seed: f.seed, Count: f.count, Tally: o.classes, Rules: o.faults, Words: o.samples, Seconds: o.seconds, Series: o.series, Marks: o.marks, Pushed: o.pushed}
 	res.Whole, res.Window, res.Class, res.Worst = Score(o.seconds, o.classes)
 	res.Worth = 0.5*res.Whole + 0.3*res.Window + 0.2*res.Class
+	res.Top = o.top.score(o.seconds, o.classes)
 	if len(o.faults) > 0 {
 		res.Worth = 0
 	}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -595,6 +595,8 @@
 	switch name {
 	case "worth":
 		return r.Worth, true
+	case "top":
+		return r.Top, true
 	case "whole":
 		return r.Whole, true
 	case "window":
@@ -635,7 +637,7 @@
 }
 
 // Figures names those that Figure knows, for the command's table.
-var Figures = []string{"worth", "whole", "window", "class", "rules", "served", "late", "refused", "failed", "expired", "p50_ms", "p99_ms", "attempts", "probes", "dials", "changes", "pushed_over"}
+var Figures = []string{"worth", "top", "whole", "window", "class", "rules", "served", "late", "refused", "failed", "expired", "p50_ms", "p99_ms", "attempts", "probes", "dials", "changes", "pushed_over"}
 
 // Met returns what a result falls short of, each in one line.
 func (s *Scenario) Met(r *fleet.Result) (short []string) {
