--- a/balance/api.go
+++ b/balance/api.go
@@ -212,6 +212,12 @@
 	Out  bool
 }
 
+// Pace says that the members of a zone may be used for a part of their power only, 0 = not at all, 1 = as usual. Who returns is eased in.
+type Pace struct {
+	Zone string
+	Part float64
+}
+
 // Wake is a Timer that ran out.
 type Wake struct{}
 
@@ -222,6 +228,7 @@
 func (ClientGone) event()  {}
 func (FirstByte) event()   {}
 func (Suspend) event()     {}
+func (Pace) event()        {}
 func (Wake) event()        {}
 
 // Action is something the caller has to do, in order; the types below implement it.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,7 +53,7 @@
 	r := &Router{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), nodes: map[string]*node{},
 		groups: map[int64]*group{}, classes: map[string]*class{}, tenants: map[string]*bucket{},
 		reqs: map[string]*request{}, sessions: map[int64]commit{}, repeats: retryMost, probes: probeFirst,
-		barred: map[string]bool{}, trackGap: trialFirst}
+		barred: map[string]bool{}, paced: map[string]float64{}, trackGap: trialFirst}
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
@@ -97,6 +97,8 @@
 			r.onProbe(e)
 		case Suspend:
 			r.onSuspend(e)
+		case Pace:
+			r.paced[e.Zone] = e.Part
 		case ClientGone:
 			if q := r.reqs[e.ID]; q != nil {
 				r.close(q)
@@ -810,7 +812,7 @@
 			return false
 		}
 	}
-	if float64(len(n.out)+1) > max(1, n.limit*r.warmth(n)) || r.now < n.restAt {
+	if float64(len(n.out)+1) > max(1, n.limit*r.warmth(n)) || r.now < n.restAt || r.pace(n) == 0 {
 		return false
 	}
 	ok, _, _ := r.afford(q, n)
@@ -855,9 +857,9 @@
 func (r *Router) warmth(n *node) float64 {
 	from := max(n.readyAt, n.revived)
 	if age := r.now - from; from > 0 && age < r.cfg.ColdFor {
-		return r.cfg.ColdFrom + (1-r.cfg.ColdFrom)*max(0, age.Seconds())/r.cfg.ColdFor.Seconds()
+		return r.pace(n) * (r.cfg.ColdFrom + (1-r.cfg.ColdFrom)*max(0, age.Seconds())/r.cfg.ColdFor.Seconds())
 	}
-	return 1
+	return r.pace(n)
 }
 
 // ---- Health
@@ -998,10 +1000,3 @@
 		n.limit += max(1/n.limit, smooth/2)
 	}
 }
-
-// startLimit shares out the first limit. A share under one attempt must fit uneven arrivals: it starts wider.
-func (r *Router) startLimit() float64 {
-	return max(firstLimit/r.instances(), min(1, firstShare/r.instances()))
-}
-
-func (r *Router) leastLimit() float64 { return min(1, leastAll/r.instances()) }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1959,3 +1959,40 @@
 		t.Error("a refusal beside a primary does not count")
 	}
 }
+
+// A zone that may not be used gets nothing, one that may be used in part gets less at a time, and one that is free again gets its part.
+func TestPacedZone(t *testing.T) {
+	l := three(ListCached)
+	l.Entries[1].Zone = "b"
+	h := newRig(t, base(), l)
+	h.reports("a")
+	count := func(part float64) (n int) {
+		h.step(0, Pace{Zone: "b", Part: part})
+		for range 40 {
+			for _, s := range pick[Send](h.step(0, h.request("any"))) {
+				if s.Node == "b" {
+					n++
+				}
+				h.step(0, Outcome{ID: s.ID, Node: s.Node, Status: Done, Took: 50 * ms, Finished: true})
+			}
+			h.now += 5 * ms
+		}
+		return n
+	}
+	h.r.nodes["c"].barred = true // b is the only replica
+	if n := count(0); n != 0 {
+		t.Errorf("%d sent to a zone that may not be used", n)
+	}
+	if n := count(1); n != 40 {
+		t.Errorf("%d of 40 sent to a zone that is free", n)
+	}
+	h.step(0, Pace{Zone: "b", Part: 0.25})
+	most := 0
+	for range 40 {
+		h.step(0, h.request("any"))
+		most = max(most, len(h.r.nodes["b"].out))
+	}
+	if free := h.r.nodes["b"].limit; most == 0 || float64(most) > free/4+1 {
+		t.Errorf("%d out at a quarter of %.1f", most, free)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -256,12 +256,13 @@
 	tracked  bool
 	trackAt  Time
 	trackGap time.Duration
-	wakeAt   Time            // the next timer
-	due      Time            // when something is due next
-	best     float64         // the highest rank seen, forgotten slowly,
-	bestLat  float64         // and what such a request took in the mean
-	awake    Time            // it did not run for a while before this
-	barred   map[string]bool // the members that operators have taken out, listed or not
+	wakeAt   Time               // the next timer
+	due      Time               // when something is due next
+	best     float64            // the highest rank seen, forgotten slowly,
+	bestLat  float64            // and what such a request took in the mean
+	awake    Time               // it did not run for a while before this
+	barred   map[string]bool    // the members that operators have taken out, listed or not
+	paced    map[string]float64 // the part of their power for which a zone's members may be used, where it is not all
 }
 
 // How long a member that is gone is remembered, and where removal is soft. One that has died is listed as gone until it is
@@ -276,6 +277,21 @@
 
 func (r *Router) instances() float64 { return float64(r.cfg.Instances) }
 
+// startLimit shares out the first limit. A share under one attempt must fit uneven arrivals: it starts wider.
+func (r *Router) startLimit() float64 {
+	return max(firstLimit/r.instances(), min(1, firstShare/r.instances()))
+}
+
+func (r *Router) leastLimit() float64 { return min(1, leastAll/r.instances()) }
+
+// pace is the part of its power that a member may be used for: less than 1 while its zone's return is paced.
+func (r *Router) pace(n *node) float64 {
+	if part, ok := r.paced[n.zone]; ok {
+		return part
+	}
+	return 1
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // MostTries is how many attempts a request may have, 0 = any number.
@@ -502,6 +518,7 @@
 	Up         bool    // it can be sent something now
 	Limit      float64 // attempts that may be out, for this instance
 	Rate       float64 // work done for this instance, seconds a second, moving mean
+	Warmth     float64 // the part of its power that it may be used for now
 }
 
 // Sights calls f with each member that is listed, in the order of groups and ids.
@@ -509,12 +526,20 @@
 	for _, g := range r.order {
 		for _, n := range g.members {
 			if n.state != Gone {
-				f(Sight{n.id, n.zone, g.id, g.primary == n && g.state == usable, n.in() && !n.suspect, n.limit, n.rate})
+				f(Sight{n.id, n.zone, g.id, g.primary == n && g.state == usable, n.in() && !n.suspect, n.limit, n.rate, r.warmth(n)})
 			}
 		}
 	}
 }
 
+// Does is the work that a member does for this instance, seconds a second, moving mean, and whether it is warm.
+func (r *Router) Does(name string) (rate float64, warm bool) {
+	if n := r.nodes[name]; n != nil {
+		return n.rate, r.warmth(n) == 1
+	}
+	return 0, false
+}
+
 // Cost is what requests of a class cost a member, seconds: the least seen, forgotten slowly, and the moving mean with waiting.
 func (r *Router) Cost(name string) (work, mean float64) {
 	if c := r.classes[name]; c != nil {
--- a/cmd/limeladder/sites.go
+++ b/cmd/limeladder/sites.go
@@ -13,17 +13,14 @@
 	"limeladder/internal/sites"
 )
 
-// Evidence of a site is looked at over sitesWindow: a router with little traffic hears of a machine now and then. A suspicion lasts
-// for sitesHold before the site counts as lost: a moment's silence of a network is shorter.
-const (
-	sitesWindow = 2 * time.Second
-	sitesHold   = 500 * time.Millisecond
-)
-
-// watchSites turns the watch of whole sites on, if deploy/limeladder.toml says so.
+// watchSites turns the watch of whole sites on, and what it leads to, if deploy/limeladder.toml says so.
 func (d *daemon) watchSites(cfg *config.Config) {
-	if d.dep.Sites.Watch {
-		d.core.WatchSites(sites.Config{Own: cfg.Balance.Zone, Window: sitesWindow, Hold: sitesHold, Settle: max(sitesWindow, cfg.Balance.ColdFor), Most: d.lim.Listed})
+	if !d.dep.Sites.Watch {
+		return
+	}
+	d.core.WatchSites(sites.Watch(cfg.Balance.Zone, cfg.Balance.ColdFor, d.lim.Listed))
+	if d.dep.Sites.Act {
+		d.core.ActOnSites(sites.DoorConfig{Spread: cfg.Balance.MaxRetryAfter}, sites.RampConfig{First: cfg.Balance.ColdFrom, Over: cfg.Balance.ColdFor}, cfg.SeedValue)
 	}
 }
 
@@ -39,6 +36,18 @@
 	Flaps    int    `json:"flaps"`
 }
 
+// refusedView is what is refused at the door now, pacedView a site that is not used for all it can do.
+type refusedView struct {
+	sites.Share
+	SinceMs int64 `json:"since_ms"`
+}
+
+type pacedView struct {
+	Site    string  `json:"site"`
+	Part    float64 `json:"part"`
+	BoundMs int64   `json:"bound_ms"` // an operators' bound holds for so long; 0 = there is none
+}
+
 // Sites implements operator.Router.
 func (d *daemon) Sites(table bool) (text string, off bool) {
 	if !d.dep.Sites.Watch {
@@ -53,9 +62,19 @@
 		}
 		views = append(views, siteView{v.Site, v.State.String(), v.Kind.String(), since, v.Evidence, v.Machines, v.Down, v.Flaps})
 	}
-	plans := d.core.Plans()
+	plans, refused, paced := d.core.Plans(), []refusedView{}, []pacedView{}
+	for _, s := range d.core.Refusals() {
+		refused = append(refused, refusedView{s, (now - s.Since).Milliseconds()})
+	}
+	for _, p := range d.core.Paces() {
+		v := pacedView{p.Site, p.Part, 0}
+		if p.Until > 0 {
+			v.BoundMs = (p.Until - now).Milliseconds()
+		}
+		paced = append(paced, v)
+	}
 	if !table {
-		p, err := json.Marshal(map[string]any{"sites": views, "plans": plans})
+		p, err := json.Marshal(map[string]any{"sites": views, "plans": plans, "refused": refused, "paced": paced})
 		if err != nil {
 			d.log.Error("sites", "err", err)
 			return "{}", false
@@ -76,6 +95,16 @@
 		fmt.Fprintf(t, "%s\t%s%s\t%d\t%d\t%s\t%s\n", v.Site, v.State, kind, v.Machines, v.Down, since, v.Evidence)
 	}
 	t.Flush()
+	for _, p := range paced {
+		fmt.Fprintf(&b, "%s is used for %.0f%% of what it can do", p.Site, 100*p.Part)
+		if p.BoundMs > 0 {
+			fmt.Fprintf(&b, ", bound by operators for %v more", (time.Duration(p.BoundMs) * time.Millisecond).Round(time.Second))
+		}
+		b.WriteString("\n")
+	}
+	for _, x := range refused {
+		fmt.Fprintf(&b, "refused at the door: bank %d %s, %.0f%%, the %s short, for %v\n", x.Bank, x.Class, 100*x.Part, x.Where, (time.Duration(x.SinceMs) * time.Millisecond).Round(100*time.Millisecond))
+	}
 	b.WriteString("\n")
 	sites.Table(&b, plans)
 	return strings.TrimRight(b.String(), "\n"), false
@@ -99,6 +128,24 @@
 	return ok, known, false
 }
 
+// Pace implements operator.Router.
+func (d *daemon) Pace(site string, part float64, length time.Duration) (ok bool, known []string, off bool) {
+	if ok, off = d.core.BindSite(site, part, length); off {
+		return false, nil, true
+	}
+	for _, v := range d.core.Sites() {
+		known = append(known, v.Site)
+	}
+	if ok {
+		text := fmt.Sprintf("operators bind %s to %.0f%% of what it can do for %v", site, 100*part, length)
+		if length == 0 {
+			text = "operators leave the pace of " + site + " to the evidence"
+		}
+		d.record.note("site", text)
+	}
+	return ok, known, false
+}
+
 // sitesPlan asks a router for its plans.
 type sitesPlan struct {
 	Operator string `arg:"" help:"The router's address for operators, host:port."`
--- a/cmd/limeladder/sites_test.go
+++ b/cmd/limeladder/sites_test.go
@@ -47,7 +47,7 @@
 	cfg := pushed(t, agent, list...)
 	cfg.Operator, cfg.Balance.Zone = op, "n"
 	var dep config.Deploy
-	dep.Sites.Watch = true
+	dep.Sites.Watch, dep.Sites.Act = true, true
 	d, err = newDaemon(cfg, dep, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
@@ -170,6 +170,32 @@
 	post("/v1/sites/s/found", 200)
 	until("s is well by the evidence", func(s map[string]siteView) bool { return s["s"].State == "well" })
 	post("/v1/sites/x/lost", 404)
+	paced := func() (out []pacedView) {
+		t.Helper()
+		r, err := http.Get("http://" + op + "/v1/sites")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.Body.Close()
+		var got struct{ Paced []pacedView }
+		if err := json.NewDecoder(r.Body).Decode(&got); err != nil {
+			t.Fatal(err)
+		}
+		return got.Paced
+	}
+	post("/v1/sites/s/pace?part=0.25&limit=1m", 200)
+	if got := paced(); len(got) != 1 || got[0].Site != "s" || got[0].Part != 0.25 || got[0].BoundMs < 50_000 {
+		t.Errorf("%+v", got)
+	}
+	out.Reset()
+	if _, code := command([]string{"sites", "plan", op}, nil, &out, &fault); code != 0 || !strings.Contains(out.String(), "s is used for 25% of what it can do, bound by operators for") {
+		t.Errorf("%d %s", code, out.String())
+	}
+	post("/v1/sites/s/free", 200)
+	if got := paced(); len(got) != 0 {
+		t.Errorf("%+v", got)
+	}
+	post("/v1/sites/x/pace?part=0.5", 404)
 }
 
 // Where the watch is off there is nothing to ask for, and a command that reaches no router says so in one line.
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -23,6 +23,7 @@
 	} `toml:"changeover"`
 	Sites struct {
 		Watch bool `toml:"watch"` // whole sites are judged, and their loss is planned
+		Act   bool `toml:"act"`   // what is too much while one is lost is refused, and its return is paced
 	} `toml:"sites"`
 	Syslog Syslog `toml:"syslog"`
 	Audit  Audit  `toml:"audit"`
@@ -53,6 +54,9 @@
 	if extra := meta.Undecoded(); len(extra) > 0 {
 		return d, fmt.Errorf("%s: %s: no such field", path, extra[0])
 	}
+	if d.Sites.Act && !d.Sites.Watch {
+		return d, fmt.Errorf("%s: sites.act: nothing is known of sites without sites.watch", path)
+	}
 	if d.Extended.Listen != "" {
 		if err := address(d.Extended.Listen); err != nil {
 			return d, fmt.Errorf("%s: extended.listen: %w", path, err)
--- a/internal/lab/fleet/config.go
+++ b/internal/lab/fleet/config.go
@@ -59,6 +59,7 @@
 	Cancel                  bool
 	Checks                  balance.Checks // what a machine does with a read that it is too far behind for
 	Hold                    []string       // classes whose requests are held through a change of primary
+	Sites                   string         // what routers do about whole sites: one of SitesOff and so on
 	HarmColdBudget          bool           // the routers know nothing of cold machines: a change that does harm
 	Salt                    uint64         // the routers draw otherwise, the world does not: what chance alone does
 
@@ -75,6 +76,13 @@
 	return c.Use * float64(c.Banks*c.Members*c.Kind.Cores) * c.Kind.Speed * share / work
 }
 
+// What routers do about whole sites: nothing, judge and plan, or refuse and pace returns too.
+const (
+	SitesOff   = ""
+	SitesWatch = "watch"
+	SitesAct   = "act"
+)
+
 // Update says whether a class is one of writes.
 func Update(k *Class) bool { return k.Need == balance.NeedUpdate }
 
@@ -149,6 +157,8 @@
 		return bad("use", "a part of all capacity is needed")
 	case len(c.Classes) == 0:
 		return bad("classes", "at least one is needed")
+	case c.Sites != SitesOff && c.Sites != SitesWatch && c.Sites != SitesAct:
+		return bad("sites", c.Sites+" is neither watch nor act")
 	case c.Checks == balance.ChecksWait:
 		return bad("checks", "machines that wait are not emulated")
 	case c.Kind.Cores < 1 || c.Kind.Slots < 1 || c.Kind.Speed <= 0:
--- a/internal/lab/fleet/router.go
+++ b/internal/lab/fleet/router.go
@@ -12,6 +12,7 @@
 	"limeladder/internal/limits"
 	"limeladder/internal/loop"
 	"limeladder/internal/router"
+	"limeladder/internal/sites"
 )
 
 // instance is one router: its core on a loop of virtual time, and its connections.
@@ -80,6 +81,12 @@
 		core.HoldThrough(changeover.Config{Instances: cfg.Instances, Classes: classes, Count: lim.Held, Bytes: lim.HeldBytes,
 			Margin: lim.AnswerBefore, MaxAfter: cfg.MaxRetryAfter}, f.seed*7919+uint64(r.number)+f.cfg.Salt<<50, nil)
 	}
+	if f.cfg.Sites != SitesOff {
+		core.WatchSites(sites.Watch(cfg.Zone, cfg.ColdFor, f.cfg.Banks*f.cfg.Members))
+		if f.cfg.Sites == SitesAct {
+			core.ActOnSites(sites.DoorConfig{Spread: cfg.MaxRetryAfter}, sites.RampConfig{First: cfg.ColdFrom, Over: cfg.ColdFor}, f.seed*104729+uint64(r.number)+f.cfg.Salt<<50)
+		}
+	}
 	r.alive = true
 	r.watch = watcher{r: r}
 	l := f.directory.list(balance.ListCached)
@@ -400,7 +407,7 @@
 				limit.Stop()
 				res := router.Result{Status: balance.ConnectFailed}
 				if ok {
-					res = router.Result{Status: balance.Done, Position: rep.Position, Role: balance.RoleReplica}
+					res = router.Result{Status: balance.Done, Position: rep.Position, Role: balance.RoleReplica, Use: rep.Use}
 					if rep.Primary {
 						res.Role = balance.RolePrimary
 					}
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -29,6 +29,7 @@
 	Cancel         *bool    `toml:"cancel"`
 	Tries          *int     `toml:"tries"`
 	HarmColdBudget *bool    `toml:"harm_cold_budget"`
+	Sites          *string  `toml:"sites"`
 	Salt           *uint64  `toml:"salt"`
 }
 
@@ -60,6 +61,7 @@
 	set(a.Cancel != nil, func() { c.Cancel = *a.Cancel })
 	set(a.Tries != nil, func() { c.MostTries = *a.Tries })
 	set(a.HarmColdBudget != nil, func() { c.HarmColdBudget = *a.HarmColdBudget })
+	set(a.Sites != nil, func() { c.Sites = *a.Sites })
 	set(a.Salt != nil, func() { c.Salt = *a.Salt })
 	return c
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,6 +29,8 @@
 	Sites(table bool) (text string, off bool)
 	// Declare says that a site is lost, for so long at most; 0 takes it back. known lists the sites there are where it is none.
 	Declare(site string, length time.Duration) (ok bool, known []string, off bool)
+	// Pace says that a site may be used for a part of its power at most, for so long; 0 for length takes it back.
+	Pace(site string, part float64, length time.Duration) (ok bool, known []string, off bool)
 	// Changeover says that a bank's primary is about to change: its writes are held until then, for so long at most.
 	Changeover(cell int64, limit time.Duration) (known, off bool)
 }
@@ -164,6 +166,8 @@
 		}
 	case len(p) == 4 && p[0] == "v1" && p[1] == "sites" && (p[3] == "lost" || p[3] == "found"):
 		act = func() { k.declare(p[2], p[3] == "lost", c.query.Get("limit")) }
+	case len(p) == 4 && p[0] == "v1" && p[1] == "sites" && (p[3] == "pace" || p[3] == "free"):
+		act = func() { k.pace(p[2], p[3] == "pace", c.query.Get("part"), c.query.Get("limit")) }
 	case len(p) == 4 && p[0] == "v1" && p[1] == "cells" && p[3] == "changeover":
 		act = func() { k.changeover(p[2], c.query.Get("limit")) }
 	default:
@@ -211,18 +215,55 @@
 	declareMost  = 24 * time.Hour
 )
 
+// length is for how long an operator's word on a site holds; of one that is taken back it is 0.
+func (k *conn) length(holds bool, limit string) (length time.Duration, ok bool) {
+	if !holds {
+		return 0, true
+	}
+	if limit == "" {
+		return declareUsual, true
+	}
+	length, err := time.ParseDuration(limit)
+	if err != nil || length <= 0 || length > declareMost {
+		k.answer(http.StatusBadRequest, "limit: a time such as 5m, one day at most")
+		return 0, false
+	}
+	return length, true
+}
+
+// pace carries out an operator's word on the return of a site.
+func (k *conn) pace(site string, bound bool, text, limit string) {
+	part := 1.0
+	if bound {
+		var err error
+		if part, err = strconv.ParseFloat(text, 64); err != nil || !(part >= 0 && part <= 1) {
+			k.answer(http.StatusBadRequest, "part: what may be used of the site, from 0, which forbids its return, to 1")
+			return
+		}
+	}
+	length, ok := k.length(bound, limit)
+	if !ok {
+		return
+	}
+	ok, known, off := k.server.router.Pace(site, part, length)
+	k.server.log.Info("operator", "call", "pace", "site", site, "part", part, "limit", length, "known", ok)
+	switch {
+	case off:
+		k.answer(http.StatusNotFound, "no return is paced here: [sites] act is off")
+	case !ok:
+		k.answer(http.StatusNotFound, "no site of that name; there are: "+strings.Join(known, ", "))
+	case bound:
+		k.answer(http.StatusOK, "bound")
+	default:
+		k.answer(http.StatusOK, "paced by evidence")
+	}
+}
+
 // declare carries out an operator's word on a site.
 func (k *conn) declare(site string, lost bool, limit string) {
-	length := time.Duration(0)
-	if lost {
-		length = declareUsual
-		if limit != "" {
-			var err error
-			if length, err = time.ParseDuration(limit); err != nil || length <= 0 || length > declareMost {
-				k.answer(http.StatusBadRequest, "limit: a time such as 5m, one day at most")
-				return
-			}
-		}
+	length, ok := k.length(lost, limit)
+	if !ok {
+		return
 	}
 	ok, known, off := k.server.router.Declare(site, length)
 	k.server.log.Info("operator", "call", "site", "site", site, "lost", lost, "limit", length, "known", ok)
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -13,8 +13,12 @@
 		r.loop.Post(func() { r.refuse(q, 0) })
 		return
 	}
-	r.inHand[q.id] = q
 	r.asks(q)
+	if after, refused := r.turnedAway(q); refused {
+		r.loop.Post(func() { r.refuse(q, after) })
+		return
+	}
+	r.inHand[q.id] = q
 	// The module ends what it holds in time; the timer is for attempts that are out, and guards against a
 	// request that would stay without any answer.
 	q.timer = r.loop.After(q.dieAt-r.loop.Now(), func() { r.expire(q) })
--- a/internal/router/route.go
+++ b/internal/router/route.go
@@ -24,14 +24,16 @@
 // Step lets the decision module look at what has come and carries out what it decides. The loop calls it each
 // time all that had come is handed over.
 func (r *Router) Step() {
-	for r.changes(); len(r.pending) > 0; r.changes() {
-		events := r.pending
-		r.pending = nil
-		for _, a := range r.module.Step(r.loop.Now(), events) {
-			r.act(a)
+	for again := true; again; again = len(r.pending) > 0 {
+		for r.changes(); len(r.pending) > 0; r.changes() {
+			events := r.pending
+			r.pending = nil
+			for _, a := range r.module.Step(r.loop.Now(), events) {
+				r.act(a)
+			}
 		}
+		r.stepSites()
 	}
-	r.stepSites()
 }
 
 func (r *Router) act(a balance.Action) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,7 @@
 	Answer   Answer
 	Code     string        // the error that the answer passes on, "" = none
 	At       time.Duration // when its answer began to come, 0 = none did
+	Use      float64       // of a probe: the part of what the machine can do that all its work takes, 0 = not told
 }
 
 // Call is an attempt under way.
@@ -96,16 +97,18 @@
 
 // Router owns the decision module and all requests in hand.
 type Router struct {
-	loop    *loop.Loop
-	lim     limits.Limits
-	log     *slog.Logger
-	module  *balance.Router
-	servers Servers
-	watcher Watcher
-	audit   Audit           // nil = nothing is recorded
-	holder  *holder         // nil = nothing is held through a change of primary
-	sites   *watcherOfSites // nil = whole sites are not watched
-	classes map[string]balance.Class
+	loop      *loop.Loop
+	lim       limits.Limits
+	log       *slog.Logger
+	module    *balance.Router
+	servers   Servers
+	watcher   Watcher
+	audit     Audit           // nil = nothing is recorded
+	holder    *holder         // nil = nothing is held through a change of primary
+	sites     *watcherOfSites // nil = whole sites are not watched
+	classes   map[string]balance.Class
+	probes    bool // machines may be asked for reports
+	instances int
 
 	pending []balance.Event
 	inHand  map[string]*request
@@ -144,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Router{loop: l, lim: lim, log: log, module: m, audit: a, classes: map[string]balance.Class{},
+	r := &Router{loop: l, lim: lim, log: log, module: m, audit: a, classes: map[string]balance.Class{}, probes: cfg.Probes, instances: cfg.Instances,
 		inHand: map[string]*request{}, open: map[string]bool{}}
 	for _, c := range cfg.Classes {
 		r.classes[c.Name] = c
--- a/internal/router/sites.go
+++ b/internal/router/sites.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"time"
 
 	"limeladder/balance"
@@ -9,8 +10,9 @@
 	"limeladder/internal/sites"
 )
 
-// What the core tells of whole sites, and the plans for their loss. sites.Model judges and sites.Make plans; nothing here decides
-// where a request goes. Without it none of this costs anything.
+// What the core tells of whole sites, and the plans for their loss. sites.Model judges and sites.Make plans; sites.Door says at the door
+// what is refused while a site is lost, sites.Ramp what part of a returning site may be used, which the decision module heeds. Which
+// server a request goes to is the module's. Without it none of this costs anything.
 
 // watcherOfSites is the model, and what has happened since it was looked at.
 type watcherOfSites struct {
@@ -18,11 +20,87 @@
 	events []sites.Event
 	timer  *loop.Timer
 	meter  sites.Meter
+	use    sites.Uses
+	costs  map[string]float64
+	before map[sites.Key]float64 // what was asked for when a site was lost: nil while all are well
+	door   *sites.Door // nil = nothing is refused
+	ramp   *sites.Ramp // nil = no return is paced
 }
 
 // WatchSites turns it on. It is called before the first list.
 func (r *Router) WatchSites(cfg sites.Config) {
-	r.sites = &watcherOfSites{model: sites.New(cfg)}
+	r.sites = &watcherOfSites{model: sites.New(cfg), costs: map[string]float64{}}
+	r.survey(0)
+}
+
+// surveyEvery is between two reports that are asked for so that a plan knows what machines can do, and surveyAll is how many are asked for
+// in a second at most by all routers together: a fleet that is larger asks for positions often enough anyway.
+const (
+	surveyEvery = time.Second
+	surveyAll   = 10
+)
+
+// survey asks one machine after the other for a report.
+func (r *Router) survey(turn int) {
+	if !r.probes {
+		return
+	}
+	r.loop.After(surveyEvery*time.Duration(max(1, r.instances/surveyAll)), func() {
+		var all []string
+		r.module.Sights(func(s balance.Sight) {
+			if s.Up && s.Rate > 0 {
+				all = append(all, s.Node)
+			}
+		})
+		if len(all) > 0 {
+			r.probe(all[turn%len(all)], false)
+		}
+		r.sites.use.Forget(func(id string) bool { return r.sites.model.Site(id) != "" })
+		r.survey(turn + 1)
+	})
+}
+
+// ActOnSites lets what is known of sites bind: requests are refused at the door while a site is lost, and its return is paced. It is called
+// behind WatchSites.
+func (r *Router) ActOnSites(door sites.DoorConfig, ramp sites.RampConfig, seed uint64) {
+	r.sites.door, r.sites.ramp = sites.NewDoor(door, seed), sites.NewRamp(ramp)
+}
+
+// Refusals are what is refused at the door, Paces the sites whose return is paced or bound.
+func (r *Router) Refusals() []sites.Share {
+	if r.sites == nil || r.sites.door == nil {
+		return nil
+	}
+	return r.sites.door.Shares()
+}
+
+// Paces: see Refusals.
+func (r *Router) Paces() []sites.Pace {
+	if r.sites == nil || r.sites.ramp == nil {
+		return nil
+	}
+	return r.sites.ramp.Paces()
+}
+
+// BindSite is an operators' word on a site's return: no more than part of its power for so long; 0 for length takes it back. It says whether
+// the site is known, and whether returns are paced here at all.
+func (r *Router) BindSite(site string, part float64, length time.Duration) (known, off bool) {
+	if r.sites == nil || r.sites.ramp == nil {
+		return false, true
+	}
+	for _, v := range r.sites.model.Views() {
+		known = known || v.Site == site
+	}
+	if known {
+		b := sites.Bound{Site: site, Part: part}
+		if length > 0 {
+			b.Until = r.loop.Now() + length
+		}
+		r.sites.ramp.Bind(b)
+		r.judgeSites(nil)
+		r.Step()
+	}
+	return known, false
 }
 
 // Sites is what those on call see; nil where they are not watched.
@@ -39,7 +117,12 @@
 	if w == nil {
 		return nil
 	}
-	in := sites.Input{}
+	return sites.Make(r.sitesInput(false))
+}
+
+// sitesInput is what a plan is made of, with what each machine can do in the long run, or now: cold ones little.
+func (r *Router) sitesInput(now bool) sites.Input {
+	w, in := r.sites, sites.Input{}
 	// Where work waits, attempts take longer than their work: a member carries as much work as the attempts that may be out.
 	work, mean := 0.0, 0.0
 	for name, seen := range w.meter.Classes(r.loop.Now()) {
@@ -51,16 +134,45 @@
 		each = min(1, work/mean)
 	}
 	r.module.Sights(func(s balance.Sight) {
-		in.Members = append(in.Members, sites.Member{ID: s.Node, Site: s.Zone, Bank: s.Group, Primary: s.Primary, Up: s.Up && !w.model.Down(s.Node),
-			Carry: max(s.Rate, s.Limit*each)})
+		carry, told := w.use.Carry(s.Node)
+		if !told {
+			carry = max(s.Rate, s.Limit*each)
+		}
+		if now {
+			carry *= s.Warmth
+		}
+		in.Members = append(in.Members, sites.Member{ID: s.Node, Site: s.Zone, Bank: s.Group, Primary: s.Primary, Up: s.Up && !w.model.Down(s.Node), Carry: carry})
 	})
 	for k, rate := range w.meter.Rates(r.loop.Now()) {
 		c := r.classes[k.Class]
-		cost, _ := r.module.Cost(k.Class)
+		if now && w.before != nil {
+			// Where other routers have gone too their clients come here, and with them their part of the machines. That can't be told
+			// from a burst, which the module meets as it always does.
+			rate = min(rate, w.before[k])
+		}
+		cost := w.cost(r.module, k.Class)
 		in.Demands = append(in.Demands, sites.Demand{Class: k.Class, Bank: k.Bank, Rate: rate, Work: cost, Worth: c.Worth,
 			Strong: c.Need == balance.NeedUpdate || c.Need == balance.NeedLatest})
 	}
-	return sites.Make(in)
+	return in
+}
+
+// cost is the work of a request of a class. What is known of it in a loss is its waiting too: what was known before holds then.
+func (w *watcherOfSites) cost(m *balance.Router, class string) float64 {
+	if work, _ := m.Cost(class); !w.model.Troubled() || w.costs[class] == 0 {
+		w.costs[class] = work
+	}
+	return w.costs[class]
+}
+
+// turnedAway asks at the door whether a new request is refused, and after what time it may come again.
+func (r *Router) turnedAway(q *request) (after time.Duration, refused bool) {
+	w := r.sites
+	if w == nil || w.door == nil || q.before > 0 {
+		return 0, false
+	}
+	refused, after = w.door.Ask(sites.Key{Class: q.Class, Bank: q.Group})
+	return after, refused
 }
 
 // Declare is an operators' word that a site is lost, for so long; 0 takes it back. It says whether the site is known.
@@ -82,7 +194,7 @@
 
 // asks counts a request that is taken.
 func (r *Router) asks(q *request) {
-	if r.sites != nil {
+	if r.sites != nil && !q.Retry { // a repeat asks for the same once more, not for more
 		r.sites.meter.Asked(r.loop.Now(), sites.Key{Class: q.Class, Bank: q.Group})
 	}
 }
@@ -93,6 +205,14 @@
 	if w == nil {
 		return
 	}
+	if res.Use > 0 && !w.model.Troubled() { // what they do for this router is a mean of seconds: in a loss it says little of their use now
+		if rate, warm := r.module.Does(node); warm {
+			w.use.Told(node, rate, res.Use)
+		}
+	}
+	if w.ramp != nil && res.Status != balance.Skipped && res.Status != balance.Cancelled && res.Status != balance.Miss {
+		w.ramp.Ended(w.model.Site(node), res.Status != balance.Done)
+	}
 	switch res.Status {
 	case balance.Skipped, balance.Cancelled: // it says nothing of the machine
 	case balance.ConnectFailed:
@@ -138,15 +258,48 @@
 }
 
 func (r *Router) judgeSites(events []sites.Event) {
-	w := r.sites
-	for _, a := range w.model.Step(r.loop.Now(), events) {
+	w, now := r.sites, r.loop.Now()
+	wake := time.Duration(0)
+	at := func(t time.Duration) {
+		if t > 0 && (wake == 0 || t < wake) {
+			wake = t
+		}
+	}
+	for _, a := range w.model.Step(now, events) {
 		switch a := a.(type) {
 		case sites.Changed:
 			r.log.Info("site", "site", a.Site, "from", a.From.String(), "to", a.To.String(), "kind", a.Kind.String(), "evidence", a.Evidence)
 			r.record(audit.Note{Topic: "site", Text: a.Site + " is " + a.To.String() + ", " + a.Kind.String() + ": " + a.Evidence})
+			switch troubled := w.model.Troubled(); {
+			case troubled && w.before == nil:
+				w.before = w.meter.Rates(now)
+			case !troubled:
+				w.before = nil
+			}
+			if w.ramp != nil {
+				w.ramp.Moved(now, a.Site, a.To, w.model.Flaps(a.Site))
+			}
 		case sites.Wake:
-			w.timer.Stop()
-			w.timer = r.loop.After(a.At-r.loop.Now(), func() { r.judgeSites(nil) })
+			at(a.At)
+		}
+	}
+	if w.door != nil {
+		was := w.door.Open()
+		w.door.Look(now, w.model.Troubled(), func() sites.Input { return r.sitesInput(true) })
+		if is := w.door.Open(); is != was {
+			r.log.Info("site door", "open", is)
+		}
+		at(w.door.Due())
+		paced, due := w.ramp.Look(now)
+		at(due)
+		for _, p := range paced {
+			r.log.Info("site pace", "site", p.Site, "part", p.Part, "why", p.Why)
+			r.record(audit.Note{Topic: "site", Text: fmt.Sprintf("%s is used for %.0f%% of what it can do: %s", p.Site, 100*p.Part, p.Why)})
+			r.pending = append(r.pending, balance.Pace{Zone: p.Site, Part: p.Part})
 		}
 	}
+	w.timer.Stop()
+	if wake > 0 {
+		w.timer = r.loop.After(max(0, wake-now), func() { r.judgeSites(nil) })
+	}
 }
--- a/internal/servers/probe.go
+++ b/internal/servers/probe.go
@@ -20,22 +20,22 @@
 // Begins implements Job: no report is long.
 func (probe) Begins(*Answer) bool { return false }
 
-// report reads role and position from a report such as x0=1767225600.123,x1=0,util=0.61. Of one that can't be read to
+// report reads role, position and use from a report such as x0=1767225600.123,x1=0,util=0.61. Of one that can't be read to
 // its end nothing is believed.
-func report(a *Answer) (role balance.Role, pos time.Duration) {
+func report(a *Answer) (role balance.Role, pos time.Duration, use float64) {
 	r := pgwire.NewReader(len(a.Messages)+5, 0)
 	r.Feed(a.Messages)
 	for {
 		m, ok, err := r.Next()
 		if !ok || err != nil {
-			return role, pos
+			return role, pos, use
 		}
 		if m.Type != 'D' {
 			continue
 		}
 		row, err := pgwire.Row(m.Body)
 		if err != nil {
-			return role, pos
+			return role, pos, use
 		}
 		for _, value := range row {
 			text := strings.Trim(string(value), "{} ")
@@ -44,12 +44,14 @@
 				name, figure, _ := strings.Cut(part, "=")
 				v, err := strconv.ParseFloat(figure, 64)
 				if err != nil || math.IsNaN(v) || v < 0 || v > 1e10 {
-					return balance.RoleUnknown, 0
+					return balance.RoleUnknown, 0, 0
 				}
 				switch name {
 				case "x0":
 					// The report is exact to the millisecond; a float64 of this size is off by far less.
 					pos = time.Duration(math.Floor(v*1e3+1e-3)) * time.Millisecond
+				case "util":
+					use = v
 				case "x1":
 					switch v {
 					case 0:
@@ -57,7 +59,7 @@
 					case 1:
 						role = balance.RolePrimary
 					default:
-						return balance.RoleUnknown, 0
+						return balance.RoleUnknown, 0, 0
 					}
 				}
 			}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -174,7 +174,7 @@
 	c.done = func(r router.Result) {
 		c.timer.Stop()
 		if a, ok := r.Answer.(*Answer); ok && r.Status == balance.Done {
-			r.Role, r.Position = report(a)
+			r.Role, r.Position, r.Use = report(a)
 		}
 		done(r)
 	}
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -387,7 +387,7 @@
 	for text, want := range map[string]time.Duration{"x0=1767225600.123,x1=1,util=0.6": 1767225600123 * time.Millisecond,
 		`{"x0": 1767225600.5, "x1": 1}`: 1767225600500 * time.Millisecond, "x0=nan,x1=1": 0, "x1=1,x0=-5": 0, "x0=1767225600,x1=7": 0} {
 		p := pgwire.Append(nil, 'D', []byte{0, 1, 0, 0, 0, byte(len(text))}, []byte(text))
-		if role, pos := report(&Answer{Messages: p}); pos != want || (pos == 0) != (role == balance.RoleUnknown) {
+		if role, pos, _ := report(&Answer{Messages: p}); pos != want || (pos == 0) != (role == balance.RoleUnknown) {
 			t.Errorf("%s: %v %v", text, role, pos)
 		}
 	}
--- a/internal/sites/evidence.go
+++ b/internal/sites/evidence.go
@@ -51,6 +51,18 @@
 	Most   int           // machines that are followed at most
 }
 
+// Evidence of a site is looked at over watchWindow: a router with little traffic hears of a machine now and then. A suspicion lasts
+// for watchHold before the site counts as lost: a moment's silence of a network is shorter.
+const (
+	watchWindow = 2 * time.Second
+	watchHold   = 500 * time.Millisecond
+)
+
+// Watch is how a router in a site of its own watches all of them, where machines take so long to get warm; most bounds their number.
+func Watch(own string, cold time.Duration, most int) Config {
+	return Config{Own: own, Window: watchWindow, Hold: watchHold, Settle: max(watchWindow, cold), Most: most}
+}
+
 // The shares of a site's known machines.
 const (
 	mostDown  = 0.6 // from here on it is suspected,
@@ -542,6 +554,32 @@
 	return out
 }
 
+// Troubled says that some site is lost. A suspicion alone is not enough: it may be wrong. One that returns is bounded machine by machine.
+func (m *Model) Troubled() bool {
+	for _, s := range m.sites {
+		if s.state == Lost {
+			return true
+		}
+	}
+	return false
+}
+
+// Flaps is how often a site has gone again while it came back.
+func (m *Model) Flaps(name string) int {
+	if s := m.sites[name]; s != nil {
+		return s.flaps
+	}
+	return 0
+}
+
+// Site is where a machine stands, "" = not known.
+func (m *Model) Site(id string) string {
+	if x := m.machines[id]; x != nil {
+		return x.site
+	}
+	return ""
+}
+
 // Down says whether a machine is taken for down.
 func (m *Model) Down(id string) bool {
 	x := m.machines[id]
--- a/internal/sites/plan.go
+++ b/internal/sites/plan.go
@@ -82,53 +82,27 @@
 
 // Make plans the loss of each site that has a machine, in the order of their names. It costs a sort of each bank's demands for each site.
 func Make(in Input) (out []Loss) {
-	banks := map[int64]*bank{}
-	var order []int64
-	get := func(id int64) *bank {
-		b := banks[id]
-		if b == nil {
-			b = &bank{id: id}
-			banks[id] = b
-			order = append(order, id)
-		}
-		return b
-	}
+	banks := gather(in)
 	var names []string
-	for i, x := range in.Members {
-		b := get(x.Bank)
-		b.members = append(b.members, &in.Members[i])
+	for _, x := range in.Members {
 		if !slices.Contains(names, x.Site) {
 			names = append(names, x.Site)
 		}
 	}
-	for _, d := range in.Demands {
-		if d.Rate > 0 && d.Work > 0 {
-			b := get(d.Bank)
-			b.demands = append(b.demands, d)
-		}
-	}
-	slices.Sort(order)
 	slices.Sort(names)
-	for _, id := range order {
-		b := banks[id]
-		slices.SortFunc(b.members, func(x, y *Member) int { return cmp.Compare(x.ID, y.ID) })
-		// The most worth for a second of work first; what is refused first is refused from the other end.
-		slices.SortStableFunc(b.demands, func(x, y Demand) int {
-			return cmp.Or(cmp.Compare(y.Worth/y.Work, x.Worth/x.Work), cmp.Compare(x.Class, y.Class))
-		})
+	for _, b := range banks {
 		b.now = b.carry("")
 	}
 	for _, name := range names {
 		l := Loss{Site: name, Banks: []Bank{}, Moves: []Move{}, Refused: []Refusal{}}
 		asked, kept, now := 0.0, 0.0, 0.0
-		for _, id := range order {
-			b := banks[id]
+		for _, b := range banks {
 			after := b.carry(name)
 			a, k, n := b.worth(after)
 			asked, kept, now = asked+a, kept+k, now+n
 			here := slices.ContainsFunc(b.members, func(x *Member) bool { return x.Site == name && x.Up })
 			if here {
-				l.Banks = append(l.Banks, Bank{Bank: id, LosesPrimary: b.now.lead != nil && b.now.lead.Site == name, None: after.lead == nil, Successor: after.leads(),
+				l.Banks = append(l.Banks, Bank{Bank: b.id, LosesPrimary: b.now.lead != nil && b.now.lead.Site == name, None: after.lead == nil, Successor: after.leads(),
 					Primary: after.usedP, Replicas: after.usedR, WasPrimary: b.now.usedP, WasReplicas: b.now.usedR})
 				l.Moves = append(l.Moves, b.moves(name, after)...)
 			}
@@ -142,6 +116,39 @@
 	return out
 }
 
+// gather sorts an input by banks, in the order of their numbers: members by id, demands by the worth for a second of work, the most first.
+// What is refused first is refused from the other end.
+func gather(in Input) (out []*bank) {
+	banks := map[int64]*bank{}
+	get := func(id int64) *bank {
+		b := banks[id]
+		if b == nil {
+			b = &bank{id: id}
+			banks[id] = b
+			out = append(out, b)
+		}
+		return b
+	}
+	for i, x := range in.Members {
+		b := get(x.Bank)
+		b.members = append(b.members, &in.Members[i])
+	}
+	for _, d := range in.Demands {
+		if d.Rate > 0 && d.Work > 0 {
+			b := get(d.Bank)
+			b.demands = append(b.demands, d)
+		}
+	}
+	slices.SortFunc(out, func(x, y *bank) int { return cmp.Compare(x.id, y.id) })
+	for _, b := range out {
+		slices.SortFunc(b.members, func(x, y *Member) int { return cmp.Compare(x.ID, y.ID) })
+		slices.SortStableFunc(b.demands, func(x, y Demand) int {
+			return cmp.Or(cmp.Compare(y.Worth/y.Work, x.Worth/x.Work), cmp.Compare(x.Class, y.Class))
+		})
+	}
+	return out
+}
+
 // bank is one, with what is asked of it in the order of its worth.
 type bank struct {
 	id      int64
