--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1987,6 +1987,8 @@
 		t.Errorf("%d of 40 sent to a zone that is free", n)
 	}
 	h.step(0, Pace{Zone: "b", Part: 0.25})
+	h.step(0, h.request("any")) // its credit is drawn, and earned from here on
+	h.step(2 * time.Second)
 	most := 0
 	for range 40 {
 		h.step(0, h.request("any"))
--- a/internal/router/sites.go
+++ b/internal/router/sites.go
@@ -23,8 +23,8 @@
 	use    sites.Uses
 	costs  map[string]float64
 	before map[sites.Key]float64 // what was asked for when a site was lost: nil while all are well
-	door   *sites.Door // nil = nothing is refused
-	ramp   *sites.Ramp // nil = no return is paced
+	door   *sites.Door           // nil = nothing is refused
+	ramp   *sites.Ramp           // nil = no return is paced
 }
 
 // WatchSites turns it on. It is called before the first list.
