--- a/balance/state.go
+++ b/balance/state.go
@@ -516,6 +516,7 @@
 	Group      int64
 	Primary    bool    // it is believed to be its group's
 	Up         bool    // it can be sent something now
+	In         bool    // it is ready and not taken out, whatever is thought of it at this moment
 	Limit      float64 // attempts that may be out, for this instance
 	Rate       float64 // work done for this instance, seconds a second, moving mean
 	Warmth     float64 // the part of its power that it may be used for now
@@ -526,7 +527,7 @@
 	for _, g := range r.order {
 		for _, n := range g.members {
 			if n.state != Gone {
-				f(Sight{n.id, n.zone, g.id, g.primary == n && g.state == usable, n.in() && !n.suspect, n.limit, n.rate, r.warmth(n)})
+				f(Sight{n.id, n.zone, g.id, g.primary == n && g.state == usable, n.in() && !n.suspect, n.in(), n.limit, n.rate, r.warmth(n)})
 			}
 		}
 	}
--- a/cmd/limelab/main.go
+++ b/cmd/limelab/main.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -27,6 +28,7 @@
 	Load    loadCommand    `cmd:"" help:"Ask a server on loopback that speaks PostgreSQL for work, in an open loop."`
 	Skins   skinsCommand   `cmd:"" help:"Play scenarios in process and on sockets, and say how far apart they are."`
 	Rig     rigCommand     `cmd:"" help:"Play a scenario with several processes of the real program, with faults between them."`
+	Foresee foreseeCommand `cmd:"" help:"Hold what routers plan for the loss of a site against what comes of it, in fleets drawn from seeds."`
 	Check   checkCommand   `cmd:"" help:"Hold the emulator against closed forms and the account's figures."`
 }
 
@@ -207,6 +209,31 @@
 	return nil
 }
 
+type foreseeCommand struct {
+	Seed  uint64  `default:"1" help:"The first seed."`
+	Seeds int     `default:"20" help:"How many fleets."`
+	Most  float64 `default:"0.1" help:"What a plan may be off by, of the worth that the true state would allow."`
+}
+
+// Run foresees.
+func (c *foreseeCommand) Run(out io.Writer) error {
+	off, sum := 0, 0.0
+	fmt.Fprintln(out, "| seed | fleet | planned | possible | kept | planned refused | not served | banks with none left |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
+		f, err := figures.Foresee(seed)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "| %d | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %d |\n", f.Seed, f.Fleet, f.Planned, f.Possible, f.Kept, f.Refused, f.Unserved, f.None)
+		sum += math.Abs(f.Planned - f.Possible)
+		if math.Abs(f.Planned-f.Possible) > c.Most {
+			off++
+		}
+	}
+	fmt.Fprintf(out, "\nplanned is off what is possible by %.3f in the mean, by more than %.2f in %d of %d\n", sum/float64(c.Seeds), c.Most, off, c.Seeds)
+	return nil
+}
+
 type checkCommand struct {
 	Seed uint64  `default:"1" help:"The seed."`
 	Most float64 `default:"0.1" help:"The part by which a figure may be off."`
--- a/cmd/limelab/rig.go
+++ b/cmd/limelab/rig.go
@@ -14,6 +14,7 @@
 	Router   string `type:"existingfile" help:"The program; without it limeladder beside this one."`
 	Seed     uint64 `default:"1" help:"The first seed."`
 	Seeds    int    `default:"1" help:"How many, one after the other."`
+	Deploy   string `type:"existingfile" help:"The routers' deploy/limeladder.toml; without it all of it is off."`
 	Keep     string `type:"path" help:"Where each run's files stay; without it only those of runs that break a rule do."`
 	Shrink   int    `default:"12" help:"Runs at most that look for a smaller script which still breaks a rule."`
 }
@@ -24,6 +25,14 @@
 	if err != nil {
 		return err
 	}
+	deploy := ""
+	if c.Deploy != "" {
+		text, err := os.ReadFile(c.Deploy)
+		if err != nil {
+			return err
+		}
+		deploy = string(text)
+	}
 	bad := 0
 	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
 		s, err := read(c.Scenario)
@@ -35,7 +44,7 @@
 			fmt.Fprint(out, rig.Script(s.Config))
 		}
 		play := func(o rig.Options) (*rig.Result, error) {
-			o.Program = program
+			o.Program, o.Deploy = program, deploy
 			if o.Dir, err = os.MkdirTemp(c.Keep, "rig"); err != nil {
 				return nil, err
 			}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"limeladder/balance"
 	"limeladder/internal/lab/event"
 	"limeladder/internal/lab/model"
+	"limeladder/internal/sites"
 )
 
 // start is where virtual time begins: times must not be 0, which means none.
@@ -76,6 +77,32 @@
 	return f.result(), nil
 }
 
+// Foresee plays a fleet that loses a site at a moment and does not get it back, and returns what its routers planned for that just before,
+// each for its own part of the work, beside what came.
+func Foresee(cfg Config, seed uint64, site string, at time.Duration) (told []sites.Loss, got *Result, err error) {
+	cfg.Sites = SitesWatch
+	cfg.Faults = append(slices.Clone(cfg.Faults), Fault{At: at, What: "kill", Who: []string{"zone:" + site}, Part: 1})
+	f, err := build(cfg, seed)
+	if err != nil {
+		return nil, nil, err
+	}
+	f.clock.At(start+at-time.Millisecond, func() {
+		for _, r := range f.routers {
+			for _, l := range r.core.Plans() {
+				if l.Site == site {
+					told = append(told, l)
+				}
+			}
+		}
+	})
+	f.await(cfg.Faults)
+	f.arrive()
+	f.clock.Run(start + cfg.Length)
+	f.obs.closed = true
+	f.clock.Run(start + cfg.Length + 2*f.longest)
+	return told, f.result(), nil
+}
+
 // build starts a fleet that nobody asks for anything yet.
 func build(cfg Config, seed uint64) (*Fleet, error) {
 	if err := cfg.Check(); err != nil {
--- a/internal/lab/fleet/observe.go
+++ b/internal/lab/fleet/observe.go
@@ -248,9 +248,10 @@
 	Latency []float64  // quantiles 0.5, 0.9, 0.99, 0.999 of what was served, seconds
 	Curve   []Quantile // the whole of it
 	Changes int
-	Pushed  int      // machines that were pushed over, cold or warm
-	Unseen  []string // figures that were not measured in this run
-	Top     float64  // the worth that the true state, moved about as a fluid, would allow: the same parts weighed the same way
+	Pushed  int       // machines that were pushed over, cold or warm
+	Unseen  []string  // figures that were not measured in this run
+	Tops    []float64 // worth that the true state would allow, by second
+	Top     float64   // the worth that the true state, moved about as a fluid, would allow: the same parts weighed the same way
 }
 
 // Quantile is a point of the curve of latencies.
@@ -267,6 +268,7 @@
 	res := &Result{Seed: f.seed, Count: f.count, Tally: o.classes, Rules: o.faults, Words: o.samples, Seconds: o.seconds, Series: o.series, Marks: o.marks, Pushed: o.pushed}
 	res.Whole, res.Window, res.Class, res.Worst = Score(o.seconds, o.classes)
 	res.Worth = 0.5*res.Whole + 0.3*res.Window + 0.2*res.Class
+	res.Tops = o.top.worth
 	res.Top = o.top.score(o.seconds, o.classes)
 	if len(o.faults) > 0 {
 		res.Worth = 0
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -103,9 +103,10 @@
 
 // keep shows the end of a timeline that broke a rule.
 func keep(t *testing.T, file string) {
+	t.Helper()
 	p, _ := os.ReadFile(file)
 	for _, line := range strings.Split(string(p), "\n") {
-		if strings.Contains(line, "step:") || strings.Contains(line, "RULE") || strings.Contains(line, "is told") {
+		if strings.Contains(line, "step:") || strings.Contains(line, "RULE") || strings.Contains(line, "msg=site") || strings.Contains(line, `msg="site`) {
 			t.Log(line)
 		}
 	}
--- a/internal/router/sites.go
+++ b/internal/router/sites.go
@@ -138,10 +138,11 @@
 		if !told {
 			carry = max(s.Rate, s.Limit*each)
 		}
+		up := s.In // a moment's doubt is no reason to plan without a machine
 		if now {
-			carry *= s.Warmth
+			up, carry = s.Up, carry*s.Warmth
 		}
-		in.Members = append(in.Members, sites.Member{ID: s.Node, Site: s.Zone, Bank: s.Group, Primary: s.Primary, Up: s.Up && !w.model.Down(s.Node), Carry: carry})
+		in.Members = append(in.Members, sites.Member{ID: s.Node, Site: s.Zone, Bank: s.Group, Primary: s.Primary, Up: up && !w.model.Down(s.Node), Carry: carry})
 	})
 	for k, rate := range w.meter.Rates(r.loop.Now()) {
 		c := r.classes[k.Class]
--- a/internal/sites/ramp.go
+++ b/internal/sites/ramp.go
@@ -124,7 +124,10 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.sites)) {
 		x := r.sites[name]
-		why := "its return goes on"
+		why := "it may be used again"
+		if x.part < 1 {
+			why = "it has gone again as it came back"
+		}
 		if x.running && now >= x.next {
 			switch all := x.good + x.bad; {
 			case all >= rampSeen && float64(x.bad) > rampBad*float64(all):
