--- a/internal/router/sites.go
+++ b/internal/router/sites.go
@@ -48,7 +48,7 @@
 	r.loop.After(surveyEvery*time.Duration(max(1, r.instances/surveyAll)), func() {
 		var all []string
 		r.module.Sights(func(s balance.Sight) {
-			if s.Up && s.Rate > 0 {
+			if s.Up {
 				all = append(all, s.Node)
 			}
 		})
@@ -133,8 +133,9 @@
 	if mean > 0 {
 		each = min(1, work/mean)
 	}
+	fair, told := w.use.Fair()
 	r.module.Sights(func(s balance.Sight) {
-		carry, told := w.use.Carry(s.Node)
+		carry := fair
 		if !told {
 			carry = max(s.Rate, s.Limit*each)
 		}
--- a/internal/sites/uses.go
+++ b/internal/sites/uses.go
@@ -1,40 +1,30 @@
 package sites
 
-// Uses are what machines tell of their own use in reports. A machine that does so much for this router, and is so busy with all of them, can do
-// as much more for it as it has left: the routers' parts are alike in the mean.
+import (
+	"maps"
+	"slices"
+)
+
+// Uses are what machines tell of their own use in reports, beside what they do for this router.
 type Uses struct {
 	told map[string]*use
-	all  use
 }
 
-// use is what reports have told, in moving means: of the quotient of two noisy figures the mean would be far too high.
+// use is what a machine's reports have told, in moving means: of the quotient of two noisy figures the mean would be far too high.
 type use struct {
 	rate, part float64
 	n          int
 }
 
-func (u *use) add(rate, part float64) {
-	w := max(useWeight, 1/float64(u.n+1))
-	u.rate, u.part, u.n = u.rate+w*(rate-u.rate), u.part+w*(part-u.part), u.n+1
-}
-
-func (u *use) carry() (carry float64, told bool) {
-	if u.n < useLeast || u.part < useNoise || u.rate <= 0 {
-		return 0, false
-	}
-	return u.rate / min(1, u.part), true
-}
-
 const (
 	useWeight = 0.1  // of a new report
-	useLeast  = 8    // reports from which on they tell something
-	useNoise  = 0.02 // a use below this tells nothing
+	useLeast  = 8    // reports of all machines from which on they tell something
+	useNoise  = 0.02 // a mean use below this tells nothing
 	useMost   = 4096 // machines
 )
 
 // Told takes a report: rate is what the machine does for this router, in seconds of work a second, part what all its work takes of it.
 func (u *Uses) Told(machine string, rate, part float64) {
-	u.all.add(rate, part)
 	x := u.told[machine]
 	if x == nil {
 		if len(u.told) >= useMost {
@@ -46,18 +36,24 @@
 		x = &use{}
 		u.told[machine] = x
 	}
-	x.add(rate, part)
+	x.n++
+	w := max(useWeight, 1/float64(x.n))
+	x.rate, x.part = x.rate+w*(rate-x.rate), x.part+w*(part-x.part)
 }
 
-// Carry is what a machine can do for this router, in seconds of work a second: by its own reports, or by those of all while it has told
-// little. told is false where nothing is known.
-func (u *Uses) Carry(machine string) (carry float64, told bool) {
-	if x := u.told[machine]; x != nil {
-		if carry, told = x.carry(); told {
-			return carry, true
-		}
+// Fair is what a machine can do for this router, in seconds of work a second, if it gets as large a part of each as it has of all machines' work
+// now. Of one machine it may have much more, or nothing, since it sends to its own site first; in a loss that is over. told is false
+// where nothing is known.
+func (u *Uses) Fair() (carry float64, told bool) {
+	rate, part, n := 0.0, 0.0, 0
+	for _, id := range slices.Sorted(maps.Keys(u.told)) { // in order: sums in another differ
+		x := u.told[id]
+		rate, part, n = rate+x.rate, part+min(1, x.part), n+x.n
+	}
+	if n < useLeast || rate <= 0 || part < useNoise*float64(len(u.told)) {
+		return 0, false
 	}
-	return u.all.carry()
+	return rate / part, true
 }
 
 // Forget drops machines that are not kept.
