--- a/internal/lab/fleet/config.go
+++ b/internal/lab/fleet/config.go
@@ -24,6 +24,7 @@
 	Zones   []string
 	Banks   int
 	Members int // of each bank
+	Spares  int // machines of each bank beside them that are not there until the fault add
 	Kind    model.Kind
 	Follow  model.Follow
 	Classes []Class
@@ -107,7 +108,7 @@
 
 // The kinds of faults; those of processes and of ways on sockets can be played by a rig only.
 var (
-	Faults    = []string{"kill", "hang", "drain", "slow", "sick", "remove", "cut", "discovery", "routers", "suspend"}
+	Faults    = []string{"kill", "hang", "drain", "slow", "sick", "remove", "add", "cut", "discovery", "routers", "suspend"}
 	RigFaults = []string{"crash", "freeze", "term", "delay", "trickle", "reset", "lose"}
 )
 
@@ -149,7 +150,7 @@
 		return bad("routers", "1 to 2000 are possible")
 	case len(c.Zones) == 0:
 		return bad("zones", "at least one is needed")
-	case c.Banks < 1 || c.Members < 1 || c.Banks*c.Members > 20_000:
+	case c.Banks < 1 || c.Members < 1 || c.Spares < 0 || c.Banks*(c.Members+c.Spares) > 20_000:
 		return bad("banks", "1 to 20,000 machines are possible")
 	case c.Length <= 0 || c.Length > 24*time.Hour:
 		return bad("length", "up to a day is possible")
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -113,9 +113,12 @@
 	f.world = model.New(f.clock, seed)
 	for b := range cfg.Banks {
 		bank := f.world.AddBank(int64(b+1), cfg.Follow)
-		for i := range cfg.Members {
+		for i := range cfg.Members + cfg.Spares {
 			m := f.world.Add(fmt.Sprintf("db%d%c", b+1, 'a'+i), cfg.Zones[(b+i)%len(cfg.Zones)], cfg.Kind, bank)
 			f.machine[m.ID] = m
+			if i >= cfg.Members {
+				m.Reserve()
+			}
 		}
 	}
 	for _, k := range cfg.Classes {
@@ -293,6 +296,8 @@
 			}
 		case "remove":
 			m.Remove()
+		case "add":
+			m.Appear()
 		case "slow":
 			m.Slow(x.Part)
 			if x.For > 0 {
--- a/internal/lab/model/machine.go
+++ b/internal/lab/model/machine.go
@@ -467,6 +467,18 @@
 	m.Bank.drained(m)
 }
 
+// Reserve keeps it back: it is not there until Appear. It is called before anything follows the world.
+func (m *Machine) Reserve() { m.state, m.gone, m.cause = Down, true, "not there yet" }
+
+// Appear lets one that was kept back begin, cold, with a copy of what its bank has committed.
+func (m *Machine) Appear() {
+	if m.gone && m.state == Down {
+		m.gone = false
+		m.replica.next, m.replica.have = m.Bank.committed(), m.Bank.committed()
+		m.Start()
+	}
+}
+
 // Remove ends it for good.
 func (m *Machine) Remove() {
 	m.gone = true
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -246,3 +246,38 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+// A machine that is kept back is neither listed nor leads, nor comes back by itself; once it appears it is listed as new, follows and can lead.
+func TestSpareAppears(t *testing.T) {
+	clock := event.New(1000 * time.Second)
+	w := New(clock, 1)
+	b := w.AddBank(1, Follow{Ship: time.Millisecond, Apply: time.Millisecond, Detect: [2]time.Duration{time.Second, time.Second}, Resync: time.Millisecond})
+	k := Kind{Cores: 1, Speed: 1, Slots: 4, Room: 4, ColdFrom: 0.5, ColdFor: time.Second}
+	first := w.Add("first", "a", k, b)
+	spare := w.Add("spare", "b", k, b)
+	spare.Reserve()
+	r := NewRegistry(w, Notices{}, func([2]time.Duration) time.Duration { return 0 }, func(int) {})
+	listed := func() (out string) {
+		r.Since(0, func(e Listing) { out += e.Machine.ID + " " + e.State.String() + ";" })
+		return out
+	}
+	spare.Start()
+	clock.Run(1001 * time.Second)
+	if got := listed(); got != "first ready;" || spare.State() != Down {
+		t.Fatalf("%q, %v", got, spare.State())
+	}
+	for range 300 { // the log is cut behind those that follow
+		b.commit(clock.Now())
+	}
+	spare.Appear()
+	spare.Appear()
+	clock.Run(1003 * time.Second)
+	if got := listed(); got != "first ready;spare ready;" || spare.State() != Up || spare.Position() < 1001*time.Second {
+		t.Fatalf("%q, %v, at %v", got, spare.State(), spare.Position())
+	}
+	first.Kill("killed", 0)
+	clock.Run(1010 * time.Second)
+	if !spare.Primary() {
+		t.Error("it does not follow")
+	}
+}
--- a/internal/lab/model/registry.go
+++ b/internal/lab/model/registry.go
@@ -48,7 +48,11 @@
 func NewRegistry(w *World, cfg Notices, draw func([2]time.Duration) time.Duration, told func(i int)) *Registry {
 	r := &Registry{Version: 1, world: w, cfg: cfg, draw: draw, told: told, led: map[*Bank]*Machine{}}
 	for _, m := range w.Machines {
-		r.Entries = append(r.Entries, Listing{Machine: m, State: ListedReady, Primary: m.Primary(), Changed: 1})
+		e := Listing{Machine: m, State: ListedReady, Primary: m.Primary(), Changed: 1}
+		if m.Gone() {
+			e.State, e.Changed = ListedGone, 0 // never told, until it appears
+		}
+		r.Entries = append(r.Entries, e)
 	}
 	for _, b := range w.Banks {
 		r.led[b] = b.Primary
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -84,8 +84,8 @@
 	switch {
 	case c.Routers > mostRouters:
 		return nil, fmt.Errorf("routers: %d, a rig starts %d at most", c.Routers, mostRouters)
-	case c.Banks*c.Members > mostMachines:
-		return nil, fmt.Errorf("banks: %d machines, a rig starts %d at most", c.Banks*c.Members, mostMachines)
+	case c.Banks*(c.Members+c.Spares) > mostMachines:
+		return nil, fmt.Errorf("banks: %d machines, a rig starts %d at most", c.Banks*(c.Members+c.Spares), mostMachines)
 	}
 	for _, f := range c.Faults {
 		if f.On != "" {
--- a/internal/lab/rig/sites_test.go
+++ b/internal/lab/rig/sites_test.go
@@ -99,7 +99,20 @@
 	empty := use(small(3, 6, fault(2*sec, "kill", 3*sec, "zone:s")), 1, 0.25, 9*sec)
 	empty.Zones, empty.Members = []string{"n", "s", "w", "void"}, 3
 	deploy := use(small(3, 6, fault(sec, "drain", 2*sec, "db1a"), fault(1500*time.Millisecond, "drain", 2*sec, "db2b"), fault(2*sec, "kill", 4*sec, "zone:s"), fault(3*sec, "term", 5*sec, "r1")), 3, 0.25, 10*sec)
+	renamed := use(small(3, 6, fault(2*sec, "kill", 0, "zone:s"), fault(5*sec, "add", 0, "db1e", "db2d", "db3f")), 3, 0.25, 11*sec)
+	renamed.Spares = 3
 	return map[string]hard{
+		"it returns under new ids": {renamed, 0.3, func(t *testing.T, all []move, log string) {
+			by("s", "r1", "r3", "r4", "r6")(t, all, log)
+			for _, id := range []string{"db1e", "db2d", "db3f"} {
+				if !strings.Contains(log, "is told that "+id+" is ready") {
+					t.Errorf("%s is never listed", id)
+				}
+			}
+			if got := takers(all, "s", "returning"); len(got) < 4 {
+				t.Errorf("%v see it return", got)
+			}
+		}},
 		"one of two is lost with half of the routers at peak": {use(small(2, 4, fault(2*sec, "kill", 4*sec, "zone:s"), fault(2*sec, "crash", 5*sec, "routers:s")), 3, 0.45, 10*sec), 0.3, by("s", "r1", "r3")},
 		"the second is lost while the first returns": {use(small(3, 6, fault(2*sec, "kill", 3*sec, "zone:s"), fault(5500*time.Millisecond, "kill", 3*sec, "zone:w")), 3, 0.25, 12*sec), 0.3, func(t *testing.T, all []move, _ string) {
 			for _, site := range []string{"s", "w"} {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -272,7 +272,7 @@
 
 func (r *reader) fleet(_ *starlark.Thread, args starlark.Tuple, kw map[string]starlark.Value) (starlark.Value, error) {
 	c := &r.s.Config
-	return starlark.None, set(args, kw, map[string]field{"routers": whole(&c.Routers, 1, 2000), "banks": whole(&c.Banks, 1, 5000), "members": whole(&c.Members, 1, 50),
+	return starlark.None, set(args, kw, map[string]field{"routers": whole(&c.Routers, 1, 2000), "banks": whole(&c.Banks, 1, 5000), "members": whole(&c.Members, 1, 50), "spares": whole(&c.Spares, 0, 50),
 		"zones": texts(&c.Zones), "memory_mb": whole(&c.MemoryMB, 16, 1<<16), "sockets": whole(&c.Sockets, 128, 1<<20), "tries": whole(&c.MostTries, 0, 1000),
 		"grace_ms": span(&c.Grace, time.Millisecond), "sites": text(&c.Sites), "come_back_s": span(&c.Comeback, time.Second), "checks": checks(&c.Checks),
 		"probe_price": float(&c.ProbePrice, 0, 1), "held_back": float(&c.HeldBack, 0, 1), "cancel": truth(&c.Cancel), "harm_cold_budget": truth(&c.HarmColdBudget),
--- a/internal/lab/standins/host.go
+++ b/internal/lab/standins/host.go
@@ -81,8 +81,11 @@
 	h.world = model.New(h.clock, seed)
 	for b := range cfg.Banks {
 		bank := h.world.AddBank(int64(b+1), cfg.Follow)
-		for i := range cfg.Members {
+		for i := range cfg.Members + cfg.Spares {
 			m := h.world.Add(fmt.Sprintf("db%d%c", b+1, 'a'+i), cfg.Zones[(b+i)%len(cfg.Zones)], cfg.Kind, bank)
+			if i >= cfg.Members {
+				m.Reserve()
+			}
 			s := &server{h: h, m: m, conns: map[*session]bool{}}
 			if err := s.listen("127.0.0.1:0"); err != nil {
 				h.Stop()
--- a/internal/sites/evidence.go
+++ b/internal/sites/evidence.go
@@ -166,6 +166,7 @@
 	bad      time.Duration // the first failure since it was heard, 0 = none
 	fails    int
 	why      Failure
+	lives    bool // its bank went on committing just behind its first failure: nobody else could have led so soon
 }
 
 // site is one.
@@ -188,12 +189,11 @@
 	machines map[string]*machine
 	sites    map[string]*site
 	leads    map[int64]string
-	upto     map[int64]time.Duration
 }
 
 // New returns a Model that knows nothing.
 func New(cfg Config) *Model {
-	return &Model{cfg: cfg, machines: map[string]*machine{}, sites: map[string]*site{}, leads: map[int64]string{}, upto: map[int64]time.Duration{}}
+	return &Model{cfg: cfg, machines: map[string]*machine{}, sites: map[string]*site{}, leads: map[int64]string{}}
 }
 
 // Step takes what has happened by now and returns what has changed, in the order of the sites' names.
@@ -207,7 +207,7 @@
 			m.whole(e)
 		case Heard:
 			if x := m.machines[e.Machine]; x != nil {
-				x.heard, x.bad, x.fails, x.gone = now, 0, 0, false
+				x.heard, x.bad, x.fails, x.gone, x.lives = now, 0, 0, false, false
 			}
 		case Failed:
 			if x := m.machines[e.Machine]; x != nil {
@@ -220,7 +220,7 @@
 			m.leads[e.Bank] = e.Machine
 		case Applied:
 			if x := m.machines[e.Machine]; x != nil {
-				m.upto[x.bank] = max(m.upto[x.bank], e.Upto)
+				m.applied(x.bank, e.Upto)
 			}
 		case Declare:
 			if s := m.sites[e.Site]; s != nil {
@@ -415,13 +415,20 @@
 // lives says that something speaks for a site that can't be reached: a bank whose primary is there has committed since it failed.
 func (m *Model) lives(s *site) bool {
 	for bank, id := range m.leads {
-		if x := s.machines[id]; x != nil && x.bad > 0 && m.upto[bank] > x.bad+m.cfg.Window/4 {
+		if x := s.machines[id]; x != nil && x.bank == bank && x.lives {
 			return true
 		}
 	}
 	return false
 }
 
+// applied notes up to when a bank has committed. Later than the window behind a failure it may be a successor's commits that are seen.
+func (m *Model) applied(bank int64, upto time.Duration) {
+	if x := m.machines[m.leads[bank]]; x != nil && x.bad > 0 && upto > x.bad+m.cfg.Window/4 && upto <= x.bad+m.cfg.Window {
+		x.lives = true
+	}
+}
+
 // kindOf is what the evidence says the fault is.
 func (m *Model) kindOf(s *site, others figures, reached bool) Kind {
 	gone := 0
--- a/internal/sites/evidence_test.go
+++ b/internal/sites/evidence_test.go
@@ -206,6 +206,14 @@
 	w.step(ms, Applied{Machine: "n1", Upto: w.now})
 	w.is("s", Lost, CutOff)
 
+	// What is committed much later may be a successor's: it says nothing of the old primary.
+	w = newWorld(t, "n", 4, "n", "s", "w")
+	w.run(3 * time.Second)
+	w.lose("s", Refused)
+	w.run(4 * time.Second)
+	w.step(ms, Applied{Machine: "n1", Upto: w.now})
+	w.is("s", Lost, SiteLost)
+
 	w = newWorld(t, "n", 4, "n", "s", "w")
 	w.run(3 * time.Second)
 	w.lose("s", Silent)
