--- a/internal/sites/plan_test.go
+++ b/internal/sites/plan_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -175,7 +176,42 @@
 
 // The view that one of 300 routers has of 120 machines, 30 banks in 3 sites with 5 classes, is planned in under a millisecond.
 func BenchmarkPlan(b *testing.B) {
-	var in Input
+	in := large()
+	b.ReportAllocs()
+	for b.Loop() {
+		Make(in)
+	}
+}
+
+// A look of the door at the same, and one request at it.
+func BenchmarkDoor(b *testing.B) {
+	in := large()
+	b.Run("look", func(b *testing.B) {
+		d, at := NewDoor(DoorConfig{}, 1), time.Second
+		b.ReportAllocs()
+		for b.Loop() {
+			d.Look(at, true, func() Input { return in })
+			at += doorTick
+		}
+	})
+	b.Run("ask", func(b *testing.B) {
+		d, at := NewDoor(DoorConfig{}, 1), time.Second
+		for i := range in.Members {
+			in.Members[i].Carry /= 4
+		}
+		steady(d, &at, true, in, 10*time.Second)
+		if len(d.Shares()) == 0 {
+			b.Fatal("nothing is refused")
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			d.Ask(Key{Class: "k1", Bank: 7})
+		}
+	})
+}
+
+// large is the view that one of 300 routers has of 120 machines.
+func large() (in Input) {
 	for bank := range 30 {
 		for i := range 4 {
 			in.Members = append(in.Members, Member{ID: fmt.Sprint("m", bank, i), Bank: int64(bank), Primary: i == 0, Site: []string{"n", "s", "w"}[(bank+i)%3], Up: true, Carry: 0.01})
@@ -184,8 +220,5 @@
 			in.Demands = append(in.Demands, Demand{Class: fmt.Sprint("k", k), Bank: int64(bank), Rate: 0.05, Work: 0.1, Worth: float64(k), Strong: k == 0})
 		}
 	}
-	b.ReportAllocs()
-	for b.Loop() {
-		Make(in)
-	}
+	return in
 }
