--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1998,3 +1998,14 @@
 		t.Errorf("%d out at a quarter of %.1f", most, free)
 	}
 }
+
+// Among so many instances that one has a share under one attempt none holds a long read back: it would free no replica.
+func TestLongReadsOfALargeFleetDoNotYield(t *testing.T) {
+	h := scarce(t, 1)
+	h.r.cfg.Instances = 300
+	n := h.r.nodes["c"]
+	n.limit, n.creditAt, n.credit = 1, h.now, 100
+	if len(h.long()) != 1 {
+		t.Error("it is held back")
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -371,10 +371,12 @@
 // many times as much for their work, and where other members are lost, crowded or cold they are refused for want of it. What
 // all instances have refused is about what this one has, times their number; a long read goes where that is worth less than
 // it in the time it takes, and of all instances one goes in longTimes of it, since nothing else shows that there is room again.
+// Danger: an instance whose share is under one attempt sees a refusal of a group now and then, and holds back a few of very many: that
+// frees no replica. There long reads have a part of the group of their own (takers).
 // Danger: where the log is applied too slowly whoever reads, as on a slow machine, holding long reads back gains nothing.
 func (r *Router) yields(q *request, n *node) bool {
 	g, c := q.group, q.class
-	if n == g.primary || !r.long(c) {
+	if n == g.primary || !r.long(c) || r.startLimit() < 1 {
 		return false
 	}
 	for _, k := range r.cfg.Classes {
