--- /dev/null
+++ b/internal/sites/view.go
@@ -0,0 +1,64 @@
+package sites
+
+// What a Model says of sites and machines to those who ask.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// View is a site as those on call see it.
+type View struct {
+	Site     string
+	State    State
+	Kind     Kind
+	Since    time.Duration // of its state, on the caller's clock
+	Evidence string        // of its last change
+	Machines int
+	Down     int
+	Flaps    int
+}
+
+// Views are all sites, in the order of their names.
+func (m *Model) Views() (out []View) {
+	for _, s := range m.sites {
+		f := figures{banks: map[int64]bool{}}
+		m.count(s, &f)
+		out = append(out, View{s.name, s.state, s.kind, s.since, s.evidence, len(s.machines), f.down, s.flaps})
+	}
+	slices.SortFunc(out, func(a, b View) int { return cmp.Compare(a.Site, b.Site) })
+	return out
+}
+
+// Troubled says that some site is lost. A suspicion alone is not enough: it may be wrong. One that returns is bounded machine by machine.
+func (m *Model) Troubled() bool {
+	for _, s := range m.sites {
+		if s.state == Lost {
+			return true
+		}
+	}
+	return false
+}
+
+// Flaps is how often a site has gone again while it came back.
+func (m *Model) Flaps(name string) int {
+	if s := m.sites[name]; s != nil {
+		return s.flaps
+	}
+	return 0
+}
+
+// Site is where a machine stands, "" = not known.
+func (m *Model) Site(id string) string {
+	if x := m.machines[id]; x != nil {
+		return x.site
+	}
+	return ""
+}
+
+// Down says whether a machine is taken for down.
+func (m *Model) Down(id string) bool {
+	x := m.machines[id]
+	return x != nil && x.down(m.now, m.cfg.Window)
+}
