--- a/cmd/limeladder/sites.go
+++ b/cmd/limeladder/sites.go
@@ -74,7 +74,7 @@
 		paced = append(paced, v)
 	}
 	if !table {
-		p, err := json.Marshal(map[string]any{"sites": views, "plans": plans, "refused": refused, "paced": paced})
+		p, err := json.Marshal(map[string]any{"sites": views, "plans": plans, "refused": refused, "paced": paced, "turned_away": d.core.Counts().Turned})
 		if err != nil {
 			d.log.Error("sites", "err", err)
 			return "{}", false
--- a/internal/lab/rig/sites_test.go
+++ b/internal/lab/rig/sites_test.go
@@ -48,6 +48,7 @@
 	fleet fleet.Config
 	whole float64 // of the worth, at least
 	seen  func(t *testing.T, all []move, log string)
+	more  string // of the routers' deploy file
 }
 
 func none(site string) func(t *testing.T, all []move, log string) {
@@ -101,7 +102,14 @@
 	deploy := use(small(3, 6, fault(sec, "drain", 2*sec, "db1a"), fault(1500*time.Millisecond, "drain", 2*sec, "db2b"), fault(2*sec, "kill", 4*sec, "zone:s"), fault(3*sec, "term", 5*sec, "r1")), 3, 0.25, 10*sec)
 	renamed := use(small(3, 6, fault(2*sec, "kill", 0, "zone:s"), fault(5*sec, "add", 0, "db1e", "db2d", "db3f")), 3, 0.25, 11*sec)
 	renamed.Spares = 3
+	held := use(small(2, 4, fault(2*sec, "kill", 5*sec, "zone:s"), fault(4*sec, "crash", 3*sec, "r2")), 3, 0.25, 11*sec)
 	return map[string]hard{
+		"its banks' writes are held": {held, 0.3, func(t *testing.T, all []move, log string) {
+			by("s", "r1", "r3")(t, all, log)
+			if !strings.Contains(log, "msg=changeover") {
+				t.Error("no bank is seen to change its primary")
+			}
+		}, "[changeover]\nclasses = [\"entry\"]\n"},
 		"it returns under new ids": {renamed, 0.3, func(t *testing.T, all []move, log string) {
 			by("s", "r1", "r3", "r4", "r6")(t, all, log)
 			for _, id := range []string{"db1e", "db2d", "db3f"} {
@@ -112,8 +120,8 @@
 			if got := takers(all, "s", "returning"); len(got) < 4 {
 				t.Errorf("%v see it return", got)
 			}
-		}},
-		"one of two is lost with half of the routers at peak": {use(small(2, 4, fault(2*sec, "kill", 4*sec, "zone:s"), fault(2*sec, "crash", 5*sec, "routers:s")), 3, 0.45, 10*sec), 0.3, by("s", "r1", "r3")},
+		}, ""},
+		"one of two is lost with half of the routers at peak": {use(small(2, 4, fault(2*sec, "kill", 4*sec, "zone:s"), fault(2*sec, "crash", 5*sec, "routers:s")), 3, 0.45, 10*sec), 0.3, by("s", "r1", "r3"), ""},
 		"the second is lost while the first returns": {use(small(3, 6, fault(2*sec, "kill", 3*sec, "zone:s"), fault(5500*time.Millisecond, "kill", 3*sec, "zone:w")), 3, 0.25, 12*sec), 0.3, func(t *testing.T, all []move, _ string) {
 			for _, site := range []string{"s", "w"} {
 				if got := takers(all, site, "lost"); len(got) < 4 {
@@ -123,9 +131,9 @@
 			if got := takers(all, "n", "lost"); len(got) > 0 {
 				t.Errorf("n is taken for lost by %v", got)
 			}
-		}},
+		}, ""},
 		// Banks are dealt to sites in turn: of four, those of n are two; of two, all but one.
-		"it held two of three primaries": {use(small(2, 4, fault(2*sec, "kill", 4*sec, "zone:n")), 3, 0.25, 10*sec), 0.3, by("n", "r2", "r4")},
+		"it held two of three primaries": {use(small(2, 4, fault(2*sec, "kill", 4*sec, "zone:n")), 3, 0.25, 10*sec), 0.3, by("n", "r2", "r4"), ""},
 		"a cut leaves both sides alive": {use(small(2, 4, fault(2*sec, "cut", 4*sec, "n=s")), 3, 0.25, 10*sec), 0.3, func(t *testing.T, all []move, _ string) {
 			for router, other := range map[string]string{"r1": "s", "r3": "s", "r2": "n", "r4": "n"} {
 				for _, m := range all {
@@ -134,30 +142,30 @@
 					}
 				}
 			}
-		}},
-		"a cut in one direction": {use(small(3, 6, fault(2*sec, "cut", 4*sec, "s>n")), 3, 0.25, 10*sec), 0.3, func(t *testing.T, all []move, log string) { none("w")(t, all, log) }},
+		}, ""},
+		"a cut in one direction": {use(small(3, 6, fault(2*sec, "cut", 4*sec, "s>n")), 3, 0.25, 10*sec), 0.3, func(t *testing.T, all []move, log string) { none("w")(t, all, log) }, ""},
 		"a router alone on its side": {alone, 0.3, func(t *testing.T, all []move, log string) {
 			for _, m := range all {
 				if m.to == "lost" && m.router != "r1" {
 					t.Errorf("%s takes %s for lost", m.router, m.site)
 				}
 			}
-		}},
-		"it falls into a deploy":       {deploy, 0.3, func(t *testing.T, all []move, log string) { none("w")(t, all, log); none("n")(t, all, log) }},
-		"it falls into a burst":        {burst, 0.3, by("s", "r1", "r3", "r4", "r6")},
-		"all are slow together":        {use(small(3, 6, slow(2*sec, 4*sec, 0.3, "zone:n", "zone:s", "zone:w")), 3, 0.15, 9*sec), 0.3, none("")},
-		"it answers probes only":       {use(small(3, 6, slow(2*sec, 5*sec, 0.01, "zone:s")), 3, 0.2, 10*sec), 0.3, func(t *testing.T, all []move, log string) { none("n")(t, all, log); none("w")(t, all, log) }},
-		"discovery is lost with it":    {use(small(3, 6, fault(2*sec, "kill", 4*sec, "zone:s"), fault(2*sec, "discovery", 5*sec)), 3, 0.25, 10*sec), 0.3, by("s", "r1", "r3")},
-		"repeats fill those that stay": {repeats, 0.2, by("s", "r1", "r3")},
+		}, ""},
+		"it falls into a deploy":       {deploy, 0.3, func(t *testing.T, all []move, log string) { none("w")(t, all, log); none("n")(t, all, log) }, ""},
+		"it falls into a burst":        {burst, 0.3, by("s", "r1", "r3", "r4", "r6"), ""},
+		"all are slow together":        {use(small(3, 6, slow(2*sec, 4*sec, 0.3, "zone:n", "zone:s", "zone:w")), 3, 0.15, 9*sec), 0.3, none(""), ""},
+		"it answers probes only":       {use(small(3, 6, slow(2*sec, 5*sec, 0.01, "zone:s")), 3, 0.2, 10*sec), 0.3, func(t *testing.T, all []move, log string) { none("n")(t, all, log); none("w")(t, all, log) }, ""},
+		"discovery is lost with it":    {use(small(3, 6, fault(2*sec, "kill", 4*sec, "zone:s"), fault(2*sec, "discovery", 5*sec)), 3, 0.25, 10*sec), 0.3, by("s", "r1", "r3"), ""},
+		"repeats fill those that stay": {repeats, 0.2, by("s", "r1", "r3"), ""},
 		"it flaps": {use(small(3, 6, fault(2*sec, "kill", 1500*time.Millisecond, "zone:s"), fault(5*sec, "kill", 1500*time.Millisecond, "zone:s"), fault(8*sec, "kill", 1500*time.Millisecond, "zone:s")), 3, 0.25, 13*sec), 0.3, func(t *testing.T, all []move, log string) {
 			by("s", "r1", "r3")(t, all, log)
 			if !strings.Contains(log, `msg="site pace" router=r1 site=s`) {
 				t.Error("nobody paces its return")
 			}
-		}},
-		"its clients arrive elsewhere at once": {use(small(3, 6, fault(2*sec, "crash", 6*sec, "routers:s"), fault(2*sec, "kill", 5*sec, "zone:s")), 3, 0.35, 10*sec), 0.3, by("s", "r1", "r3")},
-		"a site without a machine":             {empty, 0.3, none("void")},
-		"no sites at all":                      {placeless, 0.3, nil},
+		}, ""},
+		"its clients arrive elsewhere at once": {use(small(3, 6, fault(2*sec, "crash", 6*sec, "routers:s"), fault(2*sec, "kill", 5*sec, "zone:s")), 3, 0.35, 10*sec), 0.3, by("s", "r1", "r3"), ""},
+		"a site without a machine":             {empty, 0.3, none("void"), ""},
+		"no sites at all":                      {placeless, 0.3, nil, ""},
 	}
 }
 
@@ -172,7 +180,7 @@
 			if c.fleet.Routers < 4 {
 				t.Fatalf("%d processes", c.fleet.Routers)
 			}
-			res, err := Run(Options{Config: c.fleet, Seed: 1, Program: program, Dir: t.TempDir(), Notice: 500 * time.Millisecond, Deploy: acting})
+			res, err := Run(Options{Config: c.fleet, Seed: 1, Program: program, Dir: t.TempDir(), Notice: 500 * time.Millisecond, Deploy: acting + c.more})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -15,7 +15,8 @@
 	}
 	r.asks(q)
 	if after, refused := r.turnedAway(q); refused {
-		r.loop.Post(func() { r.refuse(q, after) })
+		r.count.Turned++
+		r.loop.Post(func() { r.refuseFor(q, after, "a site is lost and there is no place for it") })
 		return
 	}
 	r.inHand[q.id] = q
--- a/internal/router/book.go
+++ b/internal/router/book.go
@@ -10,6 +10,7 @@
 // Counts is what has happened since the start.
 type Counts struct {
 	Taken, Served, Refused, Failed, Left uint64
+	Turned                               uint64 // of those refused, at the door while a site was lost
 	Attempts                             [balance.Miss + 1]uint64
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -45,17 +45,20 @@
 	r.forget(q)
 }
 
-func (r *Router) refuse(q *request, after time.Duration) {
+func (r *Router) refuse(q *request, after time.Duration) { r.refuseFor(q, after, "") }
+
+// refuseFor tells the record why, where it is not that no db machine could take it.
+func (r *Router) refuseFor(q *request, after time.Duration, why string) {
 	if q.over {
 		return
 	}
 	r.end(q)
 	r.count.Refused++
-	r.log.Debug("refused", "request", q.Label, "class", q.Class, "tries", q.tries, "after", r.loop.Now()-q.At)
+	r.log.Debug("refused", "request", q.Label, "class", q.Class, "tries", q.tries, "after", r.loop.Now()-q.At, "why", why)
 	if after <= 0 {
 		after = r.lim.ComeAgain // a refusal always says when to come back
 	}
-	r.answered(q, audit.Refused, audit.Answer{Retry: after})
+	r.answered(q, audit.Refused, audit.Answer{Retry: after, Why: why})
 	q.client.Refused(after)
 	r.forget(q)
 }
--- a/internal/router/sites.go
+++ b/internal/router/sites.go
@@ -141,7 +141,7 @@
 		}
 		up := s.In // a moment's doubt is no reason to plan without a machine
 		if now {
-			up, carry = s.Up, carry*s.Warmth
+			up, carry = s.Up && !w.model.Lost(s.Zone), carry*s.Warmth
 		}
 		in.Members = append(in.Members, sites.Member{ID: s.Node, Site: s.Zone, Bank: s.Group, Primary: s.Primary, Up: up && !w.model.Down(s.Node), Carry: carry})
 	})
--- a/internal/sites/view.go
+++ b/internal/sites/view.go
@@ -41,6 +41,12 @@
 	return false
 }
 
+// Lost says that a site is taken for lost, by evidence or an operators' word.
+func (m *Model) Lost(name string) bool {
+	s := m.sites[name]
+	return s != nil && s.state == Lost
+}
+
 // Flaps is how often a site has gone again while it came back.
 func (m *Model) Flaps(name string) int {
 	if s := m.sites[name]; s != nil {
