--- a/internal/sites/evidence.go
+++ b/internal/sites/evidence.go
@@ -179,6 +179,7 @@
 	evidence string
 	flaps    int
 	declared time.Duration
+	fresh    int // machines that were listed for the first time while it was not well, and have taken nobody's place yet
 }
 
 // Model follows all sites.
@@ -239,6 +240,7 @@
 		x = &machine{id: e.Machine}
 		m.machines[e.Machine] = x
 	}
+	first := x.site == ""
 	x.bank = e.Bank
 	if x.site != e.Site || m.sites[e.Site] == nil {
 		m.leave(x)
@@ -250,6 +252,10 @@
 		}
 		s.machines[x.id] = x
 	}
+	s := m.sites[e.Site]
+	if first && s.state != Well {
+		s.fresh++
+	}
 	x.off = 0
 	switch e.State {
 	case Ready:
@@ -259,6 +265,18 @@
 	case Gone:
 		x.gone = !x.drains
 	}
+	m.replace(s)
+}
+
+// replace forgets machines that have gone, one for each new one. Danger: a site that returns under new ids is held to be half lost, or lost
+// again, by those that nobody will see any more.
+func (m *Model) replace(s *site) {
+	for _, id := range slices.Sorted(maps.Keys(s.machines)) {
+		if s.fresh > 0 && s.machines[id].gone {
+			s.fresh--
+			m.drop(s.machines[id])
+		}
+	}
 }
 
 // whole forgets what is no more listed. One that failed before it went keeps counting while its site is not well: it was lost.
@@ -273,6 +291,7 @@
 				if x.gone = !x.drains; x.off == 0 {
 					x.off = m.now
 				}
+				m.replace(s)
 				continue
 			}
 			m.drop(x)
@@ -509,6 +528,9 @@
 	}
 	c.Kind, c.Evidence = s.kind, s.evidence
 	s.state, s.since = next, m.now
+	if next == Well {
+		s.fresh = 0
+	}
 	return c, true
 }
 
--- a/internal/sites/evidence_test.go
+++ b/internal/sites/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -394,3 +395,50 @@
 		}
 	})
 }
+
+// A site that comes back with other machines is returning, whichever way round the list tells of old and new ones, and stays so: those that
+// are gone for good don't speak against it.
+func TestNewIDsTakeThePlaceOfOldOnes(t *testing.T) {
+	for name, newFirst := range map[string]bool{"new ones first": true, "old ones first": false} {
+		w := newWorld(t, "n", 4, "n", "s", "w")
+		w.run(3 * time.Second)
+		w.lose("s", Refused)
+		w.run(2 * time.Second)
+		w.is("s", Lost, SiteLost)
+		appear := func() {
+			for b := range 4 {
+				id := fmt.Sprint("new", b)
+				w.ids, w.site[id] = append(w.ids, id), "s"
+				w.step(ms, Listed{Machine: id, Site: "s", Bank: int64(b)})
+			}
+		}
+		if newFirst {
+			appear()
+		}
+		for b := range 4 {
+			w.step(ms, Listed{Machine: fmt.Sprint("s", b), Site: "s", Bank: int64(b), State: Gone})
+		}
+		if !newFirst {
+			appear()
+		}
+		w.ids = w.ids[:0]
+		for id, site := range w.site {
+			if site != "s" || strings.HasPrefix(id, "new") {
+				w.ids = append(w.ids, id)
+			}
+		}
+		slices.Sort(w.ids)
+		w.run(20 * time.Second)
+		for _, c := range w.seen {
+			if c.Site == "s" && c.From == Returning && c.To == Lost {
+				t.Errorf("%s: lost again: %s", name, c.Evidence)
+			}
+		}
+		w.is("s", Well, Unclear)
+		for _, v := range w.m.Views() {
+			if v.Site == "s" && (v.Machines != 4 || v.Down != 0) {
+				t.Errorf("%s: %+v", name, v)
+			}
+		}
+	}
+}
