--- a/internal/router/sites.go
+++ b/internal/router/sites.go
@@ -170,7 +170,7 @@
 // turnedAway asks at the door whether a new request is refused, and after what time it may come again.
 func (r *Router) turnedAway(q *request) (after time.Duration, refused bool) {
 	w := r.sites
-	if w == nil || w.door == nil || q.before > 0 {
+	if w == nil || w.door == nil {
 		return 0, false
 	}
 	refused, after = w.door.Ask(sites.Key{Class: q.Class, Bank: q.Group})
@@ -275,6 +275,7 @@
 			switch troubled := w.model.Troubled(); {
 			case troubled && w.before == nil:
 				w.before = w.meter.Rates(now)
+				clear(w.costs) // they may be as old as the last plan that anybody asked for
 			case !troubled:
 				w.before = nil
 			}
--- a/internal/router/sites_test.go
+++ b/internal/router/sites_test.go
@@ -14,6 +14,7 @@
 	t.Helper()
 	r, p, l := start(t)
 	r.WatchSites(sites.Watch("a", time.Second, 100))
+	r.sites.costs["look"] = 99 // as a plan of long ago had it
 	if act {
 		r.ActOnSites(sites.DoorConfig{Spread: time.Second}, sites.RampConfig{First: 0.2, Over: time.Second}, 3)
 	}
@@ -56,6 +57,9 @@
 	if turned < 50 || turned > uint64(len(all))*99/100 {
 		t.Fatalf("%d of %d turned away", turned, len(all))
 	}
+	if cost := r.sites.costs["look"]; cost > 1 {
+		t.Errorf("a request is taken for %.0f s of work, as it was long before the loss", cost)
+	}
 	said := uint64(0)
 	for _, e := range p.events {
 		if a, ok := e.(*audit.Answer); ok && a.Outcome == audit.Refused && a.Why != "" {
