Connections end by shutting the sending side; nothing is begun for a client that has gone

A client that had sent more than Limits.Ahead was held, so that its end was kept for later (sock.Conn.gone) and its request ran on; what it had sent ahead was taken behind its end (clients.Conn.Done). A write whose attempt waited for a connection was written although its client had left (router.Leave gave up safe classes only), and any attempt decided while the end stood in the loop's queue was begun. Nothing ended an answer whose first row was passed on and that went on with rows or notices. A dial that was given up kept its descriptor uncounted for up to the connect timeout. What was read late in a shutdown had more time than the process. A drain closed connections that had only just come, across their first request.

Change: Finish takes what was written, shuts the sending side, reads and drops until the peer ends its own, for 1 s, a thirty-second of the descriptors at most; descriptors are used past nbio under a lock (the number may be another connection's); a reset right behind data is told as one; client ends are prompt, and asked of the system before each attempt and write; endless answers are errors; late requests are answered by SIGKILL's earliest moment; newcomers may bring their first request. Operators that finished no call are closed outright.

Each test was seen to fail without its mend (mutations of the lines named, one at a time), but for that of Finish's wait for a part, whose mutation did not build.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -394,6 +394,7 @@
 	for _, f := range d.fronts {
 		f.Drain(d.passed)
 	}
+	until := d.loop.Now() + d.lim.DrainKept
 	accept := d.lim.DrainAccept
 	if d.passed {
 		accept = 0 // the next process has the socket: what comes from now on is its own
@@ -410,6 +411,7 @@
 				}
 			}
 			d.draining = true
+			d.core.EndBy(until) // clients send on every connection that stays open
 		})
 	})
 	d.loop.After(d.lim.DrainMost, d.loop.Stop)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -36,20 +36,21 @@
 
 // Front holds the connections of clients. All of it runs in the loop's goroutine.
 type Front struct {
-	loop     *loop.Loop
-	lim      limits.Limits
-	log      *slog.Logger
-	core     Core
-	speak    func(*Conn) Speaker
-	ready    bool
-	draining bool // the program is about to end
-	empty    bool // operators have drained the router
-	gentle   bool // another process takes the clients: there is time to let each finish
-	named    bool // requests say whose they are
-	conns    map[*Conn]struct{}
-	buffered int         // bytes of all clients that wait to be read or are kept for them
-	next     *loop.Timer // the next sweep
-	sweeps   int
+	loop      *loop.Loop
+	lim       limits.Limits
+	log       *slog.Logger
+	core      Core
+	speak     func(*Conn) Speaker
+	ready     bool
+	draining  bool          // the program is about to end
+	empty     bool          // operators have drained the router
+	gentle    bool          // another process takes the clients: there is time to let each finish
+	finishing time.Duration // since when also those are closed that have no request in hand, 0 = they are not
+	named     bool          // requests say whose they are
+	conns     map[*Conn]struct{}
+	buffered  int         // bytes of all clients that wait to be read or are kept for them
+	next      *loop.Timer // the next sweep
+	sweeps    int
 }
 
 // New returns a Front that is not ready yet. speak makes the Speaker of each connection. It is called before the loop
@@ -75,6 +76,7 @@
 	c := &Conn{front: f, sock: s, reader: pgwire.NewReader(f.lim.Message, f.lim.Startup), openAt: now, lastAt: now, tookAt: now}
 	c.speaker = f.speak(c)
 	s.Buffer(f.lim.Send)
+	s.Prompt() // a client that has gone wants nothing of what it sent ahead
 	f.conns[c] = struct{}{}
 	if f.fine() {
 		f.soon()
@@ -99,8 +101,13 @@
 	for c := range f.conns {
 		if (f.empty || f.gentle) && now-c.openAt > f.lim.EmptyIdle && c.spare(now, f.lim.EmptyIdle) {
 			c.End()
+		} else if f.draining && !f.gentle {
+			c.rest()
 		}
 	}
+	if f.finishing > 0 {
+		f.finish()
+	}
 	f.room(now)
 	f.sweeps++
 	f.next = f.loop.After(f.grain(unread > 0), f.sweep)
@@ -182,10 +189,20 @@
 	}
 }
 
-// Finish closes also what has not sent a request; what is taken still gets its answer.
+// Finish closes also what has not sent a request; what is taken still gets its answer. One that has only just come may bring what
+// it came with, and what has come in part may become whole, within ClientMute: a close would cross it.
 func (f *Front) Finish() {
+	f.finishing = f.loop.Now()
+	f.finish()
+}
+
+func (f *Front) finish() {
+	now := f.loop.Now()
 	for c := range f.conns {
-		if c.request == "" {
+		if c.request != "" {
+			continue
+		}
+		if part := c.reader.Waiting() > 0 || !c.sock.Quiet(); !c.fresh(now) && !part || now-f.finishing > f.lim.ClientMute {
 			c.End()
 		}
 	}
@@ -287,6 +304,9 @@
 	}
 }
 
+// Gone implements router.Client.
+func (c *Conn) Gone(look bool) bool { return c.ended || c.sock.Left(look) }
+
 // Closed implements sock.Handler.
 func (c *Conn) Closed(error) {
 	if !c.ended {
@@ -378,7 +398,7 @@
 
 // read works on what has come until a request is in hand.
 func (c *Conn) read() {
-	for !c.ended && c.request == "" {
+	for !c.ended && c.request == "" && !c.sock.Left(false) {
 		if c.sock.Unsent() > c.front.lim.High {
 			c.choked = true
 			c.sock.Await(c.front.lim.Low)
@@ -422,14 +442,20 @@
 	c.End()
 }
 
-// rest closes a connection between requests when the program is about to end.
+// rest closes a connection between requests when the program is about to end. One that has only just come is left to bring what it
+// came with: usual clients ask at once, and the close would cross it.
 func (c *Conn) rest() {
 	if (c.front.draining || c.front.empty) && c.started && !c.ended && c.request == "" && c.reader.Waiting() == 0 && c.speaker.Idle() &&
-		c.sock.Quiet() {
+		!c.fresh(c.front.loop.Now()) && c.sock.Quiet() {
 		c.End()
 	}
 }
 
+// fresh says that a client has asked for nothing yet and still may do so.
+func (c *Conn) fresh(now time.Duration) bool {
+	return !c.asked && now-c.openAt <= c.front.lim.ClientMute
+}
+
 // Blank answers an empty query, by which the platform asks whether it may send clients.
 func (c *Conn) Blank() {
 	f := c.front
@@ -511,6 +537,9 @@
 	c.taken = 0
 	c.cameAt = c.front.loop.Now() // the time spent behind an earlier answer does not count
 	c.lastAt = c.cameAt
+	if c.reader.Waiting() > 0 && c.sock.Left(true) {
+		return // nothing of what it sent ahead is begun: its end is on its way here
+	}
 	if next != nil && !c.ended {
 		if err := next(); err != nil {
 			c.fatal(pgwire.ProtocolViolation, err.Error())
--- a/internal/extended/extended.go
+++ b/internal/extended/extended.go
@@ -378,6 +378,9 @@
 	})
 }
 
+// Gone implements router.Client.
+func (s *session) Gone(look bool) bool { return s.conn.Gone(look) }
+
 // Begun implements router.Client.
 func (s *session) Begun(a router.Answer, f router.Flow) {
 	s.append(a.(*servers.Answer))
--- a/internal/lab/fleet/client.go
+++ b/internal/lab/fleet/client.go
@@ -153,6 +153,9 @@
 	}
 }
 
+// Gone implements router.Client: the model tells at once.
+func (q *request) Gone(bool) bool { return q.left }
+
 // Begun, Part and Cut implement router.Client; answers of the model are short.
 func (q *request) Begun(router.Answer, router.Flow) {}
 func (q *request) Part([]byte)                      {}
--- a/internal/lab/fleet/router.go
+++ b/internal/lab/fleet/router.go
@@ -357,6 +357,9 @@
 	c.done(res)
 }
 
+// Waiting implements router.Call.
+func (c *call) Waiting() bool { return !c.over && !c.written }
+
 // Cancel implements router.Call.
 func (c *call) Cancel() bool {
 	if !c.over {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -81,6 +81,7 @@
 	ListFirst    time.Duration // the router is ready without a list after this
 	ListKnown    bool          // it starts from the list it knows, and asks for what has changed since only
 	DrainAccept  time.Duration // connections are accepted for this long after SIGTERM
+	DrainKept    time.Duration // the platform lets the program go on for this long after SIGTERM at least: what is taken late is answered by then
 	DrainMost    time.Duration // the program ends at the latest this long after SIGTERM
 	Sweep        time.Duration // how often idle connections are looked at
 	Report       time.Duration // how often the counters are logged
@@ -99,8 +100,13 @@
 // Among is what one router may ask of what so many share. Guards discovery: where many start at once it has a list's time
 // for few of them. One watch from the version that is known costs it a part of a whole list and a watch behind it.
 func (l Limits) Among(routers int) Limits {
-	const few = 4
+	const few, some = 4, 10
 	l.ListKnown = routers > few
+	if routers <= some {
+		// A watch that has fallen silent is found when its wait is over, and what it missed counts as told 6 s after it fell silent. A
+		// few can ask so often, and have the time for a call that is late beside.
+		l.WatchWait = 3 * time.Second
+	}
 	return l
 }
 
@@ -111,7 +117,8 @@
 	const shortest, longest = 200 * time.Millisecond, 2 * time.Second
 	part := min(max(grace, shortest), longest) / 4
 	l.WatchWait, l.WatchSlack, l.CallSlack, l.ListAgain = part, part, 2*part, part
-	l.ListKnown = false // a whole list costs nobody anything, and leaves nothing out
+	l.ListKnown = false           // a whole list costs nobody anything, and leaves nothing out
+	l.ListFirst = 3 * time.Second // it counts as told from the first moment: what is known without it may be old
 	return l
 }
 
@@ -122,7 +129,7 @@
 	l.Memory, l.Garbage, l.Buffered = l.Memory/2, 100, l.Buffered/2
 	l.HeldBytes /= 2
 	l.AuditRecords, l.AuditBytes, l.SyslogWindow = l.AuditRecords/2, l.AuditBytes/2, l.SyslogWindow/2
-	l.Clients, l.Connections, l.IdleMachine = l.Clients*2/3, l.Connections/2, max(2, l.IdleMachine/2)
+	l.Clients, l.Connections, l.IdleMachine = l.Clients*2/3, l.Connections/2-1, max(2, l.IdleMachine/2)
 	return l
 }
 
@@ -130,7 +137,8 @@
 func For(memoryMB, sockets int, connect, idle, longest time.Duration) Limits {
 	// A few descriptors belong to the runtime, pollers, listeners, discovery and syslog.
 	const operators = 16
-	free := sockets - 32 - operators
+	// Those of connections that are ended and wait for their peer to end its side are beside (sock.Lingering).
+	free := sockets - 32 - operators - max(1, sockets/32)
 	// Values of several hundred KB come, in answers and in statements.
 	most := min(1<<20, memoryMB<<20/64)
 	// Values have up to 4 MiB. They are more than memory holds at once, so those beyond Stream are not kept.
@@ -161,7 +169,7 @@
 		ClientIdle: 2 * time.Second, ClientSweep: 50 * time.Millisecond,
 		CallWhole: 2 * time.Second, EmptyIdle: time.Second,
 		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, WatchSlack: time.Second, WatchGap: 50 * time.Millisecond, ListFirst: time.Second,
-		DrainAccept: 500 * time.Millisecond, DrainMost: longest + 600*time.Millisecond, Sweep: time.Second, Report: 10 * time.Second,
+		DrainAccept: 500 * time.Millisecond, DrainKept: min(longest, 3*time.Second) + 600*time.Millisecond, DrainMost: longest + 600*time.Millisecond, Sweep: time.Second, Report: 10 * time.Second,
 		AuditGather: 10 * time.Millisecond, AuditTick: 250 * time.Millisecond, AuditEvery: 10 * time.Second, SyslogUp: 3 * time.Second,
 		SyslogStall: 5 * time.Second, SyslogFirst: 100 * time.Millisecond, SyslogLast: 10 * time.Second, SyslogPrefer: time.Minute,
 		SyslogFlush: time.Second,
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -79,6 +79,7 @@
 	timer  *loop.Timer
 	buf    []byte
 	whole  bool // its call has come
+	told   bool // its answer is written
 	over   bool
 }
 
@@ -293,6 +294,7 @@
 		p = append(append(p, h...), "\r\n"...)
 	}
 	k.sock.Write(append(append(append(p, "\r\n"...), text...), '\n'))
+	k.told = true
 	k.drop()
 }
 
@@ -303,7 +305,11 @@
 	}
 	k.over = true
 	k.timer.Stop()
-	k.sock.Finish(k.server.lim.Flush)
+	if k.told {
+		k.sock.Finish(k.server.lim.Flush)
+	} else {
+		k.sock.Close() // nothing is owed to it, and others wait for its place
+	}
 	open := k.server.open[:0]
 	for _, o := range k.server.open {
 		if o != k {
--- a/internal/router/hold_bench_test.go
+++ b/internal/router/hold_bench_test.go
@@ -22,6 +22,8 @@
 	k.l.Post(func() { done(Result{Status: balance.Done, Role: balance.RolePrimary}) })
 	return k
 }
+func (quick) Waiting() bool                        { return false }
+func (quick) Gone(bool) bool                       { return false }
 func (quick) Cancel() bool                         { return true }
 func (quick) Probe(node string, done func(Result)) { done(Result{Status: balance.TimedOut}) }
 func (quick) Suspend(string, bool)                 {}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,6 +29,9 @@
 	Served(Answer)
 	Refused(after time.Duration) // a repeat does no harm: come again after this
 	Failed(why string)           // nothing is promised
+
+	// Gone says that the client has left, though Leave was not called yet. look asks the system too, which knows first.
+	Gone(look bool) bool
 }
 
 // Flow is the source of an answer that is passed on as it comes.
@@ -61,6 +64,7 @@
 
 	Begun func(Answer, Flow) // a long answer begins to come: what stands before its long row
 	Part  func(p []byte)     // the next piece of it
+	Gone  func() bool        // nobody waits for it any more: it is not to be written, nil = somebody does
 }
 
 // Result ends an attempt or a probe.
@@ -78,6 +82,8 @@
 type Call interface {
 	// Cancel gives it up and says whether it may have reached the db machine. Its end is not reported any more.
 	Cancel() (written bool)
+	// Waiting says that nothing of it was written yet.
+	Waiting() bool
 }
 
 // Servers reaches the db machines.
@@ -115,6 +121,7 @@
 	open    map[string]bool // the labels of those that are owed an answer
 	last    uint64          // the number of the newest request
 	wake    *loop.Timer
+	endAt   time.Duration // what is taken from now on is answered by then, 0 = in its own time
 	count   Counts
 }
 
@@ -158,6 +165,9 @@
 // Connect names the peers; it is called once, before anything else.
 func (r *Router) Connect(s Servers, w Watcher) { r.servers, r.watcher = s, w }
 
+// EndBy lets what is taken from now on be answered by then, though its client may wait longer: the process may be ended after that.
+func (r *Router) EndBy(at time.Duration) { r.endAt = at }
+
 // InHand is the number of requests that are owed an answer or have an attempt out.
 func (r *Router) InHand() int { return len(r.inHand) }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -47,17 +47,20 @@
 func (p *peer) Suspend(string, bool)                 {}
 func (p *peer) Record(e audit.Event)                 { p.events = append(p.events, e) }
 func (c *call) Cancel() bool                         { c.over = true; return c.p.written }
+func (c *call) Waiting() bool                        { return !c.over && !c.p.written }
 func (c *call) end(s balance.Status)                 { c.over, c.status = true, s; c.done(Result{Status: s}) }
 
 // owed counts the answers to one request.
 type owed struct {
 	served, refused, failed int
 	begun, parts, cut       int
+	gone                    bool
 	after                   time.Duration
 	at                      time.Duration
 	l                       *loop.Loop
 }
 
+func (o *owed) Gone(bool) bool              { return o.gone }
 func (o *owed) Begun(Answer, Flow)          { o.begun++ }
 func (o *owed) Part(p []byte)               { o.parts += len(p) }
 func (o *owed) Cut()                        { o.cut++ }
@@ -293,3 +296,67 @@
 		}
 	}
 }
+
+// A client that has gone gets no attempt begun, first or further, though the close has yet to be told; nor does one go out that
+// waits for a connection when its client leaves, whatever the class.
+func TestNothingIsBegunForAClientThatHasGone(t *testing.T) {
+	for _, class := range []string{"look", "job"} {
+		r, p, l := start(t)
+		o := &owed{l: l, gone: true}
+		play(r, l, 100*time.Millisecond, func() { r.Take(Request{Class: class, Deadline: time.Second, At: l.Now(), Job: 1}, o) })
+		if len(p.calls) != 0 || o.total() != 0 || r.InHand() != 0 || r.Counts().Left != 1 {
+			t.Errorf("%s: %d attempts, %+v, %d in hand", class, len(p.calls), o, r.InHand())
+		}
+
+		// It goes between two attempts.
+		r, p, l = start(t)
+		o = &owed{l: l}
+		play(r, l, 200*time.Millisecond, func() {
+			r.Take(Request{Class: class, Deadline: time.Second, At: l.Now(), Job: 1}, o)
+			l.After(20*time.Millisecond, func() {
+				o.gone = true
+				p.calls[0].end(balance.Busy)
+			})
+		})
+		if len(p.calls) != 1 || o.total() != 0 || r.InHand() != 0 {
+			t.Errorf("%s, a further one: %d attempts, %+v, %d in hand", class, len(p.calls), o, r.InHand())
+		}
+
+		// It leaves while its attempt waits for a connection; the attempt asks again right before it is written.
+		r, p, l = start(t)
+		p.written = false
+		o = &owed{l: l}
+		play(r, l, 100*time.Millisecond, func() {
+			id, _ := r.Take(Request{Class: class, Deadline: time.Second, At: l.Now(), Job: 1}, o)
+			l.After(20*time.Millisecond, func() {
+				o.gone = true
+				if !p.calls[0].a.Gone() {
+					t.Errorf("%s: its attempt is still wanted", class)
+				}
+				r.Leave(id)
+			})
+		})
+		if len(p.calls) != 1 || !p.calls[0].over || o.total() != 0 || r.InHand() != 0 {
+			t.Errorf("%s, waiting: %d attempts, %+v, %d in hand", class, len(p.calls), o, r.InHand())
+		}
+	}
+}
+
+// What is taken late in a shutdown is answered before the platform ends the process, though its client would wait longer.
+func TestWhatIsTakenLateIsAnsweredByTheEnd(t *testing.T) {
+	for _, class := range []string{"look", "job"} {
+		r, _, l := start(t)
+		early, late, last := &owed{l: l}, &owed{l: l}, &owed{l: l}
+		play(r, l, 400*time.Millisecond, func() {
+			r.Take(Request{Class: class, Deadline: time.Second, At: l.Now(), Job: 1}, early)
+			r.EndBy(l.Now() + 100*time.Millisecond)
+			r.Take(Request{Class: class, Deadline: time.Second, At: l.Now(), Job: 2}, late)
+			l.After(150*time.Millisecond, func() {
+				r.Take(Request{Class: class, Deadline: time.Second, At: l.Now(), Job: 3}, last)
+			})
+		})
+		if early.total() != 0 && early.at <= late.at || late.total() != 1 || last.refused != 1 || last.total() != 1 {
+			t.Errorf("%s: %+v %+v %+v", class, early, late, last)
+		}
+	}
+}
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -6,9 +6,11 @@
 func (r *Router) send(q *request, a balance.Send) {
 	leg := q.tries
 	q.tries++
-	if q.over || q.call != nil {
-		// Guards against two attempts at once, whatever the module says.
-		r.log.Error("attempt not sent", "request", q.Label, "over", q.over, "out", q.call != nil)
+	if over := q.over; over || q.call != nil || r.gone(q) {
+		if over || q.call != nil {
+			// Guards against two attempts at once, whatever the module says.
+			r.log.Error("attempt not sent", "request", q.Label, "over", over, "out", q.call != nil)
+		}
 		r.outcome(q, leg, a.Node, Result{Status: balance.Skipped}, 0)
 		return
 	}
@@ -24,7 +26,7 @@
 		if !q.over {
 			q.client.Part(p)
 		}
-	}}, func(res Result) {
+	}, Gone: func() bool { return q.over || q.client.Gone(r.loop.Now()-q.At > waitedFor) }}, func(res Result) {
 		ended = true
 		q.call = nil
 		r.book(q, leg, res)
--- a/internal/router/takein.go
+++ b/internal/router/takein.go
@@ -38,6 +38,9 @@
 	r.count.Taken++
 	// Guards the order of events: the answer must not come before Take has returned.
 	t.dieAt = q.At + q.Deadline - r.answerBefore(q.Deadline)
+	if r.endAt > 0 {
+		t.dieAt = min(t.dieAt, r.endAt)
+	}
 	r.admit(t)
 	return t.id, nil
 }
@@ -59,7 +62,7 @@
 func (r *Router) answerBefore(d time.Duration) time.Duration { return min(r.lim.AnswerBefore, d/4) }
 
 // Leave says that the client of a request has gone. A read's attempt is given up: nobody waits for it, and others wait for
-// the db machine. What may change data runs on.
+// the db machine. What may change data runs on, but only if something of it was written: nothing is begun for a client that has gone.
 func (r *Router) Leave(id string) {
 	q := r.inHand[id]
 	if q == nil || q.over {
@@ -71,8 +74,23 @@
 	if !q.parked {
 		r.leave(q)
 	}
-	if r.classes[q.Class].Effect == balance.Safe {
+	if r.classes[q.Class].Effect == balance.Safe || q.call != nil && q.call.Waiting() {
 		r.cancel(q, balance.Cancelled)
 	}
 	r.forget(q)
 }
+
+// waitedFor is how long a request has waited when the system is asked whether its client is still there: before that the poller will
+// have told, and asking for each costs a call.
+const waitedFor = 20 * time.Millisecond
+
+// gone says whether the client of a request has left, whether or not Leave has been called, and treats it so.
+//
+// Danger: a router short of its share of a core learns of a close long after it came. An attempt that begins meanwhile is for
+// nobody, and a client that comes again has another one out.
+func (r *Router) gone(q *request) bool {
+	if !q.over && q.client.Gone(r.loop.Now()-q.At > waitedFor) {
+		r.Leave(q.id)
+	}
+	return q.over
+}
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -17,7 +17,7 @@
 // conn is a connection to a db machine. It carries one call at a time.
 type conn struct {
 	machine *machine
-	left    int // machine.left when it was dialled
+	since   int // machine.left when it was dialled
 	sock    *sock.Conn
 	reader  *pgwire.Reader
 	welcome *loop.Timer // until it is welcomed
@@ -25,6 +25,7 @@
 	stall   *loop.Timer // until what has begun to come goes on
 	ready   bool
 	ended   bool
+	dialing bool // the system still has the dial
 	call    *call
 	idleAt  time.Duration
 
@@ -34,6 +35,7 @@
 	begun  bool              // it is passed on as it comes
 	row    *pgwire.RowStream // the row that is being passed on, nil = none is
 	held   bool              // the client takes no more for now
+	beside int               // bytes that came beside it
 	code   string
 	bad    bool // it is spoilt
 	role   balance.Role
@@ -41,14 +43,18 @@
 }
 
 // dial opens a connection for whoever waits first.
-func (m *machine) dial() {
+func (m *machine) dial() *conn {
 	p := m.pool
-	k := &conn{machine: m, left: m.left, reader: pgwire.NewReader(p.lim.Row, 0)}
+	k := &conn{machine: m, since: m.left, reader: pgwire.NewReader(p.lim.Row, 0)}
 	m.open++
 	m.opening++
 	p.open++
+	k.dialing = true
 	k.welcome = p.loop.After(p.lim.Connect, func() { k.broken() })
 	p.engine.Dial(m.addr, p.lim.Connect, func(c *sock.Conn, err error) sock.Handler {
+		if k.dialing = false; k.ended {
+			k.left()
+		}
 		if err != nil || k.ended {
 			if c != nil {
 				c.Close()
@@ -62,6 +68,7 @@
 		}
 		return k
 	})
+	return k
 }
 
 // end closes the connection and takes it off the books.
@@ -81,8 +88,9 @@
 		k.sock.Close()
 	}
 	m := k.machine
-	m.open--
-	m.pool.open--
+	if !k.dialing {
+		k.left()
+	}
 	if !k.ready {
 		m.opening--
 	}
@@ -94,6 +102,12 @@
 	}
 }
 
+// left gives back the place of a connection, once it has no descriptor any more: a dial that is given up has one until it ends.
+func (k *conn) left() {
+	k.machine.open--
+	k.machine.pool.open--
+}
+
 // broken is the end of a connection that was not ours to choose.
 func (k *conn) broken() {
 	if k.ended {
@@ -177,12 +191,12 @@
 func (k *conn) begin() bool {
 	lim := &k.machine.pool.lim
 	typ, length, have, ok := k.reader.Begun()
-	if ok && length > lim.Answer && (typ != 'D' || !k.begun && (k.call == nil || k.call.begun == nil || !k.call.job.Begins(k.answer))) {
+	if ok && length > lim.Answer && (typ != 'D' || k.call == nil || k.call.begun == nil || !k.call.job.Begins(k.answer)) {
 		k.spoilt("a message too long to keep") // and it can't be passed on either
 		return false
 	}
 	if !ok || typ != 'D' || length <= lim.Stream || len(have) < lim.Begin || k.call == nil || k.call.begun == nil || k.code != "" ||
-		!k.begun && !k.call.job.Begins(k.answer) {
+		!k.call.job.Begins(k.answer) {
 		return false
 	}
 	if err := pgwire.NewRowStream(length).Feed(have); err != nil {
@@ -242,13 +256,16 @@
 
 func (k *conn) message(m pgwire.Message) {
 	switch m.Type {
-	case 'S':
-		if name, value, err := pgwire.Pair(m.Body); err == nil {
+	case 'S', 'N', 'A', 'K':
+		// Guards against an answer without end: where a part of it is passed on already no time of the request's ends it.
+		if k.beside += 5 + len(m.Body); k.beside > k.machine.pool.lim.Answer {
+			k.spoilt("it says too much beside its answer")
+			return
+		}
+		if name, value, err := pgwire.Pair(m.Body); err == nil && m.Type == 'S' {
 			k.status(name, value)
 		}
 		return
-	case 'N', 'A', 'K':
-		return
 	}
 	if !k.ready {
 		switch m.Type {
@@ -301,6 +318,10 @@
 		return
 	}
 	if k.begun && m.Type == 'D' {
+		if !k.call.job.Begins(k.answer) {
+			k.spoilt("more rows than were asked for") // and they might never end
+			return
+		}
 		k.call.part(pgwire.Append(nil, m.Type, m.Body))
 	} else {
 		k.answer.Messages = pgwire.Append(k.answer.Messages, m.Type, m.Body)
@@ -386,7 +407,7 @@
 // free hands the connection to whoever waits, or keeps it.
 func (k *conn) free() {
 	m, p := k.machine, k.machine.pool
-	if k.left != m.left { // it leads to where the machine was, or has been told to leave since
+	if k.since != m.left { // it leads to where the machine was, or has been told to leave since
 		k.end()
 		m.more()
 		return
@@ -417,19 +438,20 @@
 	if c.over {
 		return false
 	}
-	if c.late(now) {
+	if c.late(now) || c.gone != nil && c.gone() {
+		// Too late, or its client has gone while the connection came up.
 		p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
 		return false
 	}
 	k.answer, k.code, k.role, k.pos = &Answer{Shape: pgwire.NewShape()}, "", balance.RoleUnknown, 0
-	k.begun, k.row, k.cameAt = false, nil, 0
+	k.begun, k.row, k.cameAt, k.beside = false, nil, 0, 0
 	if err := k.sock.Write(c.job.Messages(c.until - now)); err != nil {
 		// Nothing was written whole, so the call may go out on another connection.
 		k.end()
 		if c.connect == nil {
 			return false // still with start, which goes on to the next
 		}
-		if k.machine.barred || k.left != k.machine.left {
+		if k.machine.barred || k.since != k.machine.left {
 			p.loop.Post(func() { c.finish(router.Result{Status: balance.Skipped}) })
 			return false
 		}
--- /dev/null
+++ b/internal/servers/endings_test.go
@@ -0,0 +1,128 @@
+package servers
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"limeladder/balance"
+	"limeladder/internal/pgwire"
+	"limeladder/internal/router"
+	"limeladder/internal/standin"
+)
+
+// A client goes while the connection for its attempt comes up: nothing is written there.
+func TestNothingIsWrittenForAClientThatHasGone(t *testing.T) {
+	dialled, welcome := make(chan bool, 9), make(chan bool)
+	release := sync.OnceFunc(func() { close(welcome) })
+	defer release() // its stand-in waits for it
+	db := standin.NewDB(t, true, func(typ byte, _ string) standin.Act {
+		if typ == 0 {
+			dialled <- true
+			<-welcome
+		}
+		return standin.Act{}
+	})
+	l := lim()
+	l.Connect, l.Redial = 10*time.Second, 20*time.Second
+	r := start(t, l, db.Addr)
+	var gone atomic.Bool
+	done, waits := make(chan router.Result, 9), make(chan bool, 1)
+	r.loop.Post(func() {
+		c := r.pool.Start(router.Attempt{Node: "n", Job: job("a"), Until: r.loop.Now() + 20*time.Second, Gone: gone.Load}, func(x router.Result) { done <- x })
+		waits <- c.Waiting()
+	})
+	if !<-waits {
+		t.Error("it waits for a connection and says that it does not")
+	}
+	<-dialled
+	gone.Store(true)
+	release()
+	if x := r.end(done); x.Status != balance.Skipped || db.Runs("a") != 0 {
+		t.Fatalf("%+v, %d runs", x, db.Runs("a"))
+	}
+	if x := r.try("b", 0); x.Status != balance.Done { // its connection is there for the next
+		t.Fatalf("%+v", x)
+	}
+}
+
+// endless is a db machine that answers with a long row and goes on with more of something for as long as it is read.
+func endless(t *testing.T, more []byte) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				buf := make([]byte, 4096)
+				if _, err := c.Read(buf); err != nil {
+					return
+				}
+				c.Write(pgwire.AppendWelcome(nil))
+				if _, err := c.Read(buf); err != nil {
+					return
+				}
+				answer := long(1<<20, 0)
+				c.Write(answer[:len(answer)-len(pgwire.AppendReady(pgwire.Append(nil, 'C', []byte("INSERT 0 1\x00"))))])
+				for err == nil {
+					_, err = c.Write(more)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// An answer of which a part is passed on, and which does not end, is ended: no time of the request's does that any more.
+func TestAnAnswerWithoutEndIsEnded(t *testing.T) {
+	for name, more := range map[string][]byte{
+		"rows":    pgwire.Append(nil, 'D', []byte{0, 1, 0, 0, 0, 1, 'x'}),
+		"notices": pgwire.Append(nil, 'N', make([]byte, 100)),
+		"values":  pgwire.Append(nil, 'S', []byte("wal_time\x001\x00")),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := start(t, lim(), endless(t, more))
+			done, begun := make(chan router.Result, 9), make(chan bool, 9)
+			r.loop.Post(func() {
+				r.pool.Start(router.Attempt{Node: "n", Job: job("a"), Until: r.loop.Now() + time.Second, Begun: func(router.Answer, router.Flow) { begun <- true },
+					Part: func([]byte) {}}, func(x router.Result) { done <- x })
+			})
+			if x := r.end(done); x.Status != balance.Error || len(begun) != 1 {
+				t.Fatalf("%+v, begun %d times", x, len(begun))
+			}
+		})
+	}
+}
+
+// A dial that is given up has a descriptor until the system ends it, and counts until then.
+func TestADialThatIsGivenUpCountsUntilItEnds(t *testing.T) {
+	db := standin.NewDB(t, true, nil)
+	r := start(t, lim(), db.Addr)
+	first, then := make(chan int, 1), make(chan int, 1)
+	r.loop.Post(func() {
+		m := r.pool.machines["n"]
+		m.dial().end() // in the same turn: what the system says of the dial comes in a later one
+		first <- r.pool.open
+	})
+	if n := <-first; n != 1 {
+		t.Fatalf("%d connections counted while the dial is out", n)
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		r.loop.Post(func() { then <- r.pool.open })
+		if <-then == 0 {
+			return
+		} else if time.Now().After(end) {
+			t.Fatal("its place is not given back")
+		}
+	}
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -163,7 +163,7 @@
 
 // Start implements router.Servers.
 func (p *Pool) Start(a router.Attempt, done func(router.Result)) router.Call {
-	c := &call{pool: p, job: a.Job.(Job), until: a.Until, by: a.By, begun: a.Begun, part: a.Part, done: done}
+	c := &call{pool: p, job: a.Job.(Job), until: a.Until, by: a.By, begun: a.Begun, part: a.Part, gone: a.Gone, done: done}
 	p.start(a.Node, c)
 	return c
 }
@@ -242,6 +242,7 @@
 	by      time.Duration
 	begun   func(router.Answer, router.Flow) // nil = its answer is kept whole
 	part    func(p []byte)
+	gone    func() bool // nobody waits for it any more, nil = somebody does
 	done    func(router.Result)
 
 	conn            *conn // once its messages are written
@@ -264,6 +265,9 @@
 	c.done(r)
 }
 
+// Waiting implements router.Call.
+func (c *call) Waiting() bool { return !c.over && c.conn == nil }
+
 // Cancel implements router.Call.
 func (c *call) Cancel() (written bool) {
 	if c.over {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -7,9 +7,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -36,13 +38,23 @@
 	loop      *loop.Loop
 	nb        *nbio.Engine
 	inbox     int
-	finishing int    // connections that are to close once their last bytes are taken; owned by the loop
-	buf       []byte // the loop's own, to read on
+	finishing int     // connections that are being finished; owned by the loop, like all below
+	lingering []*Conn // those of them whose peer has yet to end its side, the oldest first: they have no listener's place any more
+	most      int     // of them
+	buf       []byte  // the loop's own, to read on
 }
 
-// Finishing is the number of connections that are to close once their last bytes are taken.
+// Finishing is the number of connections that are being finished: their last bytes are not taken yet, or their peer has yet
+// to end its side.
 func (e *Engine) Finishing() int { return e.finishing }
 
+// Linger is how long a connection that is finished waits for its peer to end its side. A peer that is there needs a round
+// trip and a turn of its own; one that is not there must not hold a descriptor for longer.
+const Linger = time.Second
+
+// Lingering is how many connections may wait for their peer to end its side, of so many descriptors.
+func Lingering(maxFiles int) int { return max(1, maxFiles/32) }
+
 // New starts the poller. maxFiles bounds the descriptors it has room for, inbox the bytes of one connection that may
 // wait for the loop: beyond them it is not read until the loop has looked at them.
 func New(l *loop.Loop, maxFiles, inbox int) (*Engine, error) {
@@ -53,7 +65,7 @@
 	}
 	// Edge-triggered, with reads of our own: nbio cannot leave a connection unread, and at the level its poller would
 	// spin on one that is.
-	e := &Engine{loop: l, inbox: inbox, buf: make([]byte, readSize), nb: nbio.NewEngine(nbio.Config{
+	e := &Engine{loop: l, inbox: inbox, most: Lingering(maxFiles), buf: make([]byte, readSize), nb: nbio.NewEngine(nbio.Config{
 		NPoller:            1,
 		ReadBufferSize:     1 << 10, // not used
 		MaxWriteBufferSize: 8 << 20, // what a peer may leave unread is bounded by its owner
@@ -70,8 +82,18 @@
 			k.took(int64(n))
 		}
 	})
-	e.nb.OnClose(func(c *nbio.Conn, err error) {
+	e.nb.OnClose(func(c *nbio.Conn, err error) { // before its descriptor is given back
 		if k, ok := c.Session().(*Conn); ok {
+			k.file.Lock()
+			k.dead = true
+			k.file.Unlock()
+			k.over.Store(true)
+			if errors.Is(err, io.EOF) {
+				// nbio says EOF of every end that its poller is told of, and a reset is no end of what a peer had to say.
+				if n, e := unix.GetsockoptInt(c.Hash(), unix.SOL_SOCKET, unix.SO_ERROR); e == nil && n != 0 {
+					err = syscall.Errno(n)
+				}
+			}
 			if k.release != nil {
 				k.release()
 			}
@@ -110,6 +132,18 @@
 	reading sync.Mutex   // held by whoever reads the socket: the poller, or the loop that reads on
 	held    bool         // the loop wants nothing more for now
 	lost    error        // the connection ended while held
+	prompt  bool         // its end is told at once, whatever came before and is not looked at
+	exact   atomic.Bool  // it is read to the end of what has come, so that a reset behind it is seen
+
+	// Ending it. All but over belongs to the loop.
+	finishing bool
+	within    time.Duration // to take more of what was written
+	before    int64         // what it had taken when that was looked at last
+	timer     *loop.Timer
+	over      atomic.Bool // the peer has ended it, or it is closed
+
+	file sync.Mutex // held while the descriptor is used past nbio,
+	dead bool       // which may not be done any more
 
 	mu     sync.Mutex
 	in     []byte // what has come and the loop has not looked at
@@ -149,19 +183,44 @@
 		if post {
 			c.post(c.data)
 		}
-		if n < len(buf) {
+		if n < len(buf) && !c.exact.Load() {
 			return // what comes from now on is told
 		}
 	}
 }
 
+// use calls f with the descriptor, unless that is given back. Guards against acting on another connection that has got the same one
+// meanwhile: the poller closes connections in a goroutine of its own.
+func (c *Conn) use(f func(fd int)) (ok bool) {
+	c.file.Lock()
+	defer c.file.Unlock()
+	if !c.dead {
+		f(c.nb.Hash())
+	}
+	return !c.dead
+}
+
 // ending says whether the peer has ended the connection.
-func (c *Conn) ending() bool {
-	p := []unix.PollFd{{Fd: int32(c.nb.Hash()), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(p, 0)
-	return err == nil && n > 0
+func (c *Conn) ending() (ended bool) {
+	return !c.use(func(fd int) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		ended = err == nil && n > 0
+	}) || ended
 }
 
+// Left says whether the peer has ended the connection, though the handler may not be told yet. look asks the system too, which
+// knows before the poller's goroutine has had its turn.
+func (c *Conn) Left(look bool) bool { return c.over.Load() || look && c.ending() }
+
+// Prompt lets the end of the connection be told at once, also while it is held: what came before and was not looked at is dropped.
+// It is for peers whose end says that they want nothing more.
+func (c *Conn) Prompt() { c.prompt = true }
+
+// Exact lets the handler know a reset from an end also where data came right before it, at the price of a further read behind all
+// that comes.
+func (c *Conn) Exact() { c.exact.Store(true) }
+
 func (c *Conn) data() {
 	c.mu.Lock()
 	if c.held {
@@ -172,16 +231,17 @@
 	p, full := c.in, c.full
 	c.in, c.posted, c.full = nil, false, false
 	c.mu.Unlock()
-	if !c.closed && len(p) > 0 {
+	if !c.closed && len(p) > 0 && !(c.prompt && c.over.Load()) {
 		c.h.Data(p)
 	}
-	if full && !c.closed {
+	if full && (!c.closed || c.finishing) {
 		c.read(c.engine.buf)
 	}
 }
 
 func (c *Conn) gone(err error) {
-	if c.held {
+	c.finished()
+	if c.held && !c.prompt {
 		c.lost = cmp.Or(err, net.ErrClosed)
 	} else if !c.closed {
 		c.closed = true
@@ -218,6 +278,8 @@
 		c.post(func() {
 			if h, ok := c.h.(Taker); ok && !c.closed {
 				h.Taken()
+			} else if c.finishing && c.Flushed() {
+				c.shut()
 			}
 		})
 	}
@@ -251,7 +313,7 @@
 
 // Close ends the connection; the handler is told nothing more.
 func (c *Conn) Close() {
-	if !c.closed {
+	if !c.closed || c.finishing {
 		c.closed = true
 		c.nb.Close()
 	}
@@ -269,36 +331,89 @@
 	if c.closed || waiting {
 		return false
 	}
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(c.nb.Hash(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN
+	quiet := false
+	return c.use(func(fd int) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+	}) && quiet
 }
 
 // Unsent is the number of bytes handed to Write that the system has not taken yet.
 func (c *Conn) Unsent() int { return int(c.queued.Load() - c.sent.Load()) }
 
-// Finish closes the connection once the system has taken all that was written, or once it has taken nothing for the
-// given time: a peer that reads slowly gets the whole.
-func (c *Conn) Finish(within time.Duration) { c.finish(within, within, 0) }
-
-func (c *Conn) finish(within, left time.Duration, before int64) {
+// Finish ends the connection in order; the handler is told nothing more. Once the system has taken all that was written, its
+// sending side is shut: the peer reads the whole and then the end. What the peer still sends is read and dropped until it ends its
+// side, for Linger at most. A peer that takes nothing for the given time is given up.
+//
+// Guards the last answer: a close while bytes lie unread resets the connection, and what the peer has not read by then may be lost
+// to it. A request that crosses the end is not taken, and the peer, which reads an end in place of an answer, can tell.
+func (c *Conn) Finish(within time.Duration) {
 	if c.closed {
 		return
 	}
-	sent := c.sent.Load()
-	if sent > before {
-		left = within
+	c.closed = true
+	if c.lost != nil {
+		return // its end has been told here
 	}
-	if c.Flushed() || left <= 0 {
-		c.Close()
+	c.finishing = true
+	c.engine.finishing++
+	if c.over.Load() {
+		return // the poller has closed it, and its end is on its way here
+	}
+	c.within, c.before = within, c.sent.Load()
+	if c.timer = c.engine.loop.After(within, c.wait); c.Flushed() {
+		c.shut()
+	} else {
+		c.Await(0)
+	}
+	c.mu.Lock()
+	held := c.held
+	c.held = false
+	post := held && !c.posted
+	c.posted = c.posted || post
+	c.mu.Unlock()
+	if post {
+		c.post(c.data) // what is left unread would make a reset of its close
+	}
+}
+
+// wait gives up a peer that has taken nothing since.
+func (c *Conn) wait() {
+	if sent := c.sent.Load(); sent > c.before {
+		c.before = sent
+		c.timer = c.engine.loop.After(c.within, c.wait)
 		return
 	}
-	const step = 5 * time.Millisecond
-	c.engine.finishing++
-	c.engine.loop.After(step, func() {
-		c.engine.finishing--
-		c.finish(within, left-step, sent)
-	})
+	c.nb.Close()
+}
+
+// shut ends the sending side and waits for the peer to end its own.
+func (c *Conn) shut() {
+	e := c.engine
+	c.use(func(fd int) { unix.Shutdown(fd, unix.SHUT_WR) })
+	if c.release != nil {
+		c.release() // what lingers has a bound of its own
+	}
+	c.timer.Stop()
+	c.timer = e.loop.After(Linger, func() { c.nb.Close() })
+	// Guards the descriptors: peers that never end their side must not take those that others need.
+	if e.lingering = append(e.lingering, c); len(e.lingering) > e.most {
+		oldest := e.lingering[0]
+		e.lingering = slices.Delete(e.lingering, 0, 1)
+		oldest.nb.Close()
+	}
+}
+
+// finished takes it off the books of what is being finished.
+func (c *Conn) finished() {
+	if !c.finishing {
+		return
+	}
+	c.finishing = false
+	c.timer.Stop()
+	c.engine.finishing--
+	c.engine.lingering = slices.DeleteFunc(c.engine.lingering, func(o *Conn) bool { return o == c })
 }
 
 // Dial opens a connection within the given time. done is called in the loop, once; the handler it returns is told
@@ -385,6 +500,8 @@
 
 func (l *Listener) run(e *Engine, post func(func()), log *slog.Logger, accept func(c *Conn) Handler) {
 	defer close(l.done)
+	const first, last = 5 * time.Millisecond, 500 * time.Millisecond
+	wait := first
 	for {
 		if !l.take() {
 			return
@@ -393,13 +510,17 @@
 		if err != nil {
 			l.give()
 			if ne, ok := err.(net.Error); ok && ne.Timeout() || !isClosed(err) {
-				// Guards against a hot loop while no descriptor is free.
-				log.Warn("accept failed", "err", err)
-				time.Sleep(5 * time.Millisecond)
+				// Guards against a hot loop, and a log of nothing else, while no descriptor is free.
+				if wait == first {
+					log.Warn("accept failed", "err", err)
+				}
+				time.Sleep(wait)
+				wait = min(2*wait, last)
 				continue
 			}
 			return
 		}
+		wait = first
 		post(func() {
 			if err := e.adopt(std, l.give, post, accept); err != nil {
 				log.Warn("connection lost", "err", err)
