A list cut by a reset is no whole list; a list without end and pieces are tested

Cause: list.link.Closed took any end of the connection for the end of an answer without a length (reply.ended), and nbio tells EOF of a reset too, so a list that was reset on its way was taken whole if its JSON happened to be. Seen with a stand-in that writes a whole list without a length and resets: it was told. Ruled out: the chunked and counted forms, which know their end. Change: only EOF ends such an answer; the connection is read to the end of what has come (sock.Conn.Exact) and the socket's own error is asked.

--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -154,6 +155,7 @@
 			w.silent(err)
 		} else {
 			w.conn = c
+			c.Exact() // an answer without a length ends with the connection, and a reset is no end
 		}
 		return &link{w, mine}
 	})
@@ -192,7 +194,7 @@
 	w.conn = nil
 	switch {
 	case w.reply == nil:
-	case w.reply.ended():
+	case w.reply.ended() && errors.Is(err, io.EOF):
 		w.answered()
 	case w.reused && len(w.reply.buf) == 0 && !w.reply.inBody:
 		w.dial(w.text) // discovery had closed an idle connection: that is no failure
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -126,6 +126,18 @@
 		"busy":    func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) },
 		"garbage": func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "{") },
 		"state":   func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, `{"servers":[{"id":"s","state":"odd"}]}`) },
+		"silent, a whole list without a length that is reset": func(w http.ResponseWriter, r *http.Request) {
+			c, _, _ := w.(http.Hijacker).Hijack()
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{\"version\":7,\"full\":true,\"servers\":[{\"id\":\"s\",\"state\":\"ready\"}]}")
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		},
+		"silent, a list without end": func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, "{\"version\":7,\"servers\":[")
+			for err := error(nil); err == nil; {
+				_, err = io.WriteString(w, strings.Repeat("{\"id\":\"s\",\"state\":\"ready\"},", 100))
+			}
+		},
 		"reset": func(w http.ResponseWriter, r *http.Request) {
 			c, _, _ := w.(http.Hijacker).Hijack()
 			c.(*net.TCPConn).SetLinger(0)
@@ -154,7 +166,7 @@
 			for range 2 { // after a failure nothing is asked before Track
 				select {
 				case silent := <-s.fails:
-					if silent == (name == "busy" || name == "reset") {
+					if silent == (name == "busy" || name == "reset" || strings.HasSuffix(name, "without end")) {
 						t.Fatalf("silent: %v", silent)
 					}
 					l.Post(w.Track)
@@ -168,6 +180,47 @@
 	}
 }
 
+// A list without a length ends with its connection; it may come indented, in any pieces.
+func TestAListWithoutALengthInPieces(t *testing.T) {
+	text := "{\n  \"version\": 7,\n  \"full\": true,\n  \"servers\": [\n    {\n      \"id\": \"s\",\n      \"state\": \"ready\"\n    }\n  ]\n}\n"
+	for _, piece := range []int{1, 7, len(text)} {
+		s, _, _ := watch(t, lim(), func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.RawQuery != "" {
+				<-r.Context().Done()
+				return
+			}
+			c, _, _ := w.(http.Hijacker).Hijack()
+			defer c.Close()
+			for p := "HTTP/1.1 200 OK\r\n\r\n" + text; p != ""; p = p[min(piece, len(p)):] {
+				io.WriteString(c, p[:min(piece, len(p))])
+			}
+		})
+		select {
+		case l := <-s.lists:
+			if l.Version != 7 || len(l.Servers) != 1 {
+				t.Fatalf("%+v", l)
+			}
+		case <-s.fails:
+			t.Fatal("it failed")
+		}
+	}
+}
+
+// What a watch that falls silent misses is asked for again, with the 2 s that a call may wait for its turn, within 6 s of its silence;
+// for a watch that waits longer, within 2 s of the end of its wait and the shortest grace that the settings have known.
+func TestASilentWatchIsOpenedAnewInTime(t *testing.T) {
+	for routers, told := range map[int]time.Duration{1: 6 * time.Second, 3: 6 * time.Second, 10: 6 * time.Second, 30: 7 * time.Second, 300: 7 * time.Second} {
+		l := limits.For(192, 1024, 250*time.Millisecond, time.Second, time.Second).Among(routers)
+		const turn, grace = 2 * time.Second, 2 * time.Second // the decision module asks again within half of the grace
+		if again := l.WatchWait + l.WatchSlack + grace/2; again+turn > told+grace {
+			t.Errorf("%d routers: asked again %v after the silence, told by %v", routers, again, told)
+		}
+		if found := l.WatchWait + l.WatchSlack; routers <= 10 && found+250*time.Millisecond*3/2+turn > told+500*time.Millisecond {
+			t.Errorf("%d routers: found after %v", routers, found)
+		}
+	}
+}
+
 // A list that is empty, or older than the one that is known, is not believed, and said once; a discovery that goes on to
 // give an older one has started anew. Behind an older answer the whole list is asked for.
 func TestUnfitListsAreNotBelieved(t *testing.T) {
