The slow start fits the fleet's budget; a keyed repeat is not written behind its window

Cause: each instance might save up two requests for a cold member, whatever all of them may send together. In a model of idle instances that are all asked at once 20 and 30 sent 60 in the contract's time where 55 are allowed, 80 sent 160, 300 sent 600 (budget N and 2 x root of N + 2). A long read could cost more than the whole budget (10.9 requests where 8 are allowed), and where the limit was the narrower bound four requests were saved up. Looked at and ruled out: the rate itself (coldShare), the drawn start, starts of instances meanwhile. Change: what may be saved up is three quarters of what the budget leaves, shared; under one request, luck drawn anew says who may send. A request that alone takes more than half of the budget, and more than the usual work, waits. A keyed repeat's Send says that it is not to be written behind the window: it waited up to the connect timeout for its connection. Calls for the list that were refused come again within 3.5 s (up to 12 s before): with a turn of 2 s a change is heard within 6 s. TestTwoRequestsAreSavedUpForAColdMember asked for the fault; TestWhatAFleetHasSavedUpFitsTheBudget takes its place and asks that budgets are kept and used.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -558,7 +558,7 @@
 		n.trialAt = r.now + n.backoff
 	}
 	if ok, cost, _ := r.afford(q, n); ok {
-		n.credit -= cost
+		n.credit, n.luckAt = n.credit-cost, 0
 	}
 	by := Time(0)
 	if q.class.Need == NeedBounded && n != q.group.primary && r.cfg.Checks == ChecksNone {
@@ -568,6 +568,9 @@
 	if !q.written && (by == 0 || q.half() < by) {
 		by = q.half() // waiting for a connection is waiting all the same
 	}
+	if end := q.ranAt + q.class.Window - beat; q.mayRun && q.class.Effect == Keyed && (by == 0 || end < by) {
+		by = end // Danger: behind the window the repeat would run again, however early it was decided
+	}
 	r.do(Send{ID: q.id, Node: n.id, By: by})
 }
 
@@ -836,15 +839,14 @@
 		// least.
 		least := coldShare * r.cfg.FallMultiple * warm * max(r.peak, 1/r.instances())
 		if least < rate {
-			cost, rate, most = q.class.work, least, least*r.cfg.FallFor.Seconds()/2
+			cost, rate = q.class.work, least
 		}
+		most = r.savings(rate, least, cost)
+		return r.coldCredit(n, rate, most, cost) && !r.heavy(q, least), cost, most
 	}
 	most = max(most, cost)
 	if n.creditAt == 0 {
-		n.credit, n.creditAt = most*r.drawn(warm), r.now
-	}
-	if warm < 1 {
-		most = max(most, 2*cost) // Danger: with one request at most, uneven arrivals leave half of it unused
+		n.credit, n.creditAt = most, r.now
 	}
 	n.credit = min(most, n.credit+rate*(r.now-n.creditAt).Seconds())
 	n.creditAt, n.most = r.now, most
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"os"
 	"reflect"
@@ -360,7 +361,13 @@
 	h := ready(t, base())
 	q := h.request("keyed")
 	h.sent(h.step(ms, q), "a")
-	h.sent(h.step(50*ms, Outcome{ID: q.ID, Node: "a", Status: Error, Role: RolePrimary}), "a")
+	first := h.now
+	repeat := h.step(50*ms, Outcome{ID: q.ID, Node: "a", Status: Error, Role: RolePrimary})
+	h.sent(repeat, "a")
+	// The way counts in: a repeat that waits for its connection is not written behind the window either.
+	if by := pick[Send](repeat)[0].By; by == 0 || by >= first+h.r.classes["keyed"].Window {
+		t.Fatalf("the repeat may be written until %v, the window ends at %v", by, first+h.r.classes["keyed"].Window)
+	}
 	acts := h.step(460*ms, Outcome{ID: q.ID, Attempt: 1, Node: "a", Status: Error, Role: RolePrimary})
 	h.sent(acts)
 	for range 100 {
@@ -1491,7 +1498,9 @@
 				for ; !asked; now += 10 * ms {
 					asked = len(pick[Track](r.Step(now, nil))) > 0
 				}
-				if wait := now - at; wait > 20*time.Second || n == 3 && wait > 3*time.Second+100*ms || n == 36 && wait < 2*time.Second {
+				// What changed counts as told 6 s after discovery had it, however the call ended: the next one, and the 2 s that it may
+				// wait for its turn, come within that.
+				if wait := now - at; wait+2*time.Second > 5600*ms || n == 3 && wait > 3*time.Second+100*ms || n == 36 && wait < 2*time.Second {
 					t.Errorf("%d instances, failure %d: %v", n, round, wait)
 				}
 			}
@@ -1644,24 +1653,68 @@
 	}
 }
 
-// A cold member of which an instance may have a request in some seconds has two saved up for it, not one: they come unevenly.
-func TestTwoRequestsAreSavedUpForAColdMember(t *testing.T) {
-	c := base()
-	c.Instances, c.ColdFor = 80, 100*time.Second
-	h := newRig(t, c, List{Kind: ListCached, Entries: []Entry{
-		{Node: "p", Group: 1, State: Ready, Primary: true, ReadyAt: 100 * time.Second}}})
-	write := func() (n int) {
-		for _, s := range pick[Send](h.step(ms, h.request("write"))) {
-			n++
-			h.step(20*ms, Outcome{ID: s.ID, Node: s.Node, Status: Done, Took: 20 * ms, Role: RolePrimary, Position: h.now,
-				Finished: true})
+// What instances have saved up for a cold member while nobody asked fits the budget of all of them together, beside what they get
+// meanwhile, however many they are: with two requests saved up at each, as it was, 80 sent 160 at once where 30 are allowed. It is
+// spent: little traffic reaches a cold member all the same.
+func TestWhatAFleetHasSavedUpFitsTheBudget(t *testing.T) {
+	for _, instances := range []int{3, 20, 30, 80, 300} {
+		c := base()
+		c.Instances, c.ColdFrom, c.ColdFor, c.FallMultiple, c.FallFor = instances, 0.16, 100*time.Second, 2.5, 2*time.Second
+		work := c.Classes[0].Aim.Seconds() / 5 // as it is taken before any answer
+		for _, k := range c.Classes {
+			if k.Need == NeedUpdate {
+				work = k.Aim.Seconds() / 5
+			}
+		}
+		for seed := range uint64(5) {
+			at, sent := 100*time.Second, 0
+			rigs := make([]*rig, instances)
+			step := func(h *rig, d time.Duration, events ...Event) { // each attempt is answered at once
+				for acts := pick[Send](h.step(d, events...)); len(acts) > 0; {
+					var more []Send
+					for _, s := range acts {
+						sent++
+						more = append(more, pick[Send](h.step(0, Outcome{ID: s.ID, Node: s.Node, Status: Done, Took: 80 * ms, Role: RolePrimary,
+							Position: h.now, Finished: true}))...)
+					}
+					acts = more
+				}
+			}
+			for i := range rigs {
+				r, err := New(c, 1000*seed+uint64(i))
+				if err != nil {
+					t.Fatal(err)
+				}
+				rigs[i] = &rig{t: t, r: r, now: at}
+				rigs[i].step(0, List{Kind: ListCached, Entries: []Entry{{Node: "p", Group: 1, State: Ready, Primary: true, ReadyAt: at}}})
+				rigs[i].step(0, ProbeResult{Node: "p", Status: Done, Role: RolePrimary, Position: at})
+				step(rigs[i], 0, rigs[i].request("write")) // its credit is counted from here
+			}
+			first := sent
+			warm := c.ColdFrom
+			n := c.FallMultiple * warm * c.FallFor.Seconds() / work
+			if most := n + 2*math.Sqrt(n) + 2; float64(first) > most {
+				t.Errorf("%d instances, seed %d: %d at the start, %.0f allowed", instances, seed, first, most)
+			}
+			for _, h := range rigs { // idle for the better part of a minute, then all ask for more than they may
+				step(h, 58*time.Second)
+			}
+			sent = 0
+			for range 80 {
+				for _, h := range rigs {
+					step(h, 25*ms, h.request("write"))
+				}
+			}
+			warm += (1 - c.ColdFrom) * 0.58
+			n = c.FallMultiple * warm * c.FallFor.Seconds() / work
+			most := n + 2*math.Sqrt(n) + 2
+			if t.Logf("%d instances, seed %d: %d of %.0f", instances, seed, sent, most); float64(sent) > most {
+				t.Errorf("%d instances, seed %d: %d in the contract's time, %.0f allowed", instances, seed, sent, most)
+			}
+			if float64(sent) < n/4 {
+				t.Errorf("%d instances, seed %d: %d in the contract's time, %.0f allowed: it is not used", instances, seed, sent, most)
+			}
 		}
-		return n
-	}
-	write() // its credit is counted from here
-	h.step(60 * time.Second)
-	if n := write() + write() + write(); n != 2 {
-		t.Fatalf("%d of three writes at once sent", n)
 	}
 }
 
--- /dev/null
+++ b/balance/cold_test.go
@@ -0,0 +1,136 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// overfull is the most that a cold member got in any of the contract's windows since its start, in requests of mean work: by how
+// much it went beyond what the settings allow, N, less twice the root of N, and 2. It is put down to chance up to 0.
+func (f *fleet) overfull(m *member, c Config, mean time.Duration) (most, at float64) {
+	most = math.Inf(-1)
+	for from := m.startAt; from+c.FallFor <= f.now; from += 20 * ms {
+		got := 0.0
+		for _, p := range m.work {
+			if p.at >= from && p.at < from+c.FallFor {
+				got += p.work.Seconds() / mean.Seconds()
+			}
+		}
+		warm := min(1, c.ColdFrom+(1-c.ColdFrom)*(from-m.startAt).Seconds()/c.ColdFor.Seconds())
+		n := c.FallMultiple * warm * float64(len(m.cores)) * c.FallFor.Seconds() / mean.Seconds()
+		if over := got - n - 2*math.Sqrt(n) - 2; over > most {
+			most, at = over, (from - m.startAt).Seconds()
+		}
+	}
+	return most, at
+}
+
+// leaveTo lets all replicas of the first group but the last drain.
+func (f *fleet) leaveTo() {
+	for i := range f.routers {
+		var l List
+		for _, id := range []string{"00b", "00c", "00d", "00e"} {
+			l.Entries = append(l.Entries, Entry{Node: id, Zone: "a", State: Draining})
+		}
+		f.step(i, l)
+	}
+}
+
+// coldCase is a deployment whose members start cold.
+type coldCase struct {
+	name  string
+	cores int
+	times float64 // of the usual work
+	rate  float64 // requests a second, beside the usual 700
+	set   func(c *Config)
+}
+
+// The slow start of a member holds for the whole fleet, without a word between its instances: beyond what the settings allow, N
+// requests of mean work, only 2 x root of N + 2 is put down to chance. That holds with few and many instances, with uneven traffic,
+// where all were idle and could have saved up, where reads move there from members that leave at once, where instances start anew
+// meanwhile, and where N is far less than one request for each.
+func TestTheSlowStartHoldsForTheFleet(t *testing.T) {
+	const mean = 39 * time.Millisecond // of the load's work, about
+	shapes := map[string]func(f *fleet, rate float64){
+		"busy": func(f *fleet, rate float64) { f.load(rate, 4, 8*time.Second) },
+		"idle, then busy": func(f *fleet, rate float64) {
+			f.load(rate/200, 4, 5*time.Second)
+			f.load(rate*1.3, 4, 4*time.Second)
+		},
+		"long idle, then all at once": func(f *fleet, rate float64) {
+			f.load(rate/200, 4, 9*time.Second)
+			f.leaveTo()
+			f.load(rate*4, 4, 3*time.Second)
+		},
+		"reads move there": func(f *fleet, rate float64) {
+			f.load(rate/30, 4, 4*time.Second)
+			f.leaveTo()
+			f.load(rate, 4, 5*time.Second)
+		},
+		"instances start anew": func(f *fleet, rate float64) {
+			f.load(rate, 4, 2*time.Second)
+			for i := range f.routers {
+				if i%2 == 0 {
+					f.restart(i)
+				}
+			}
+			f.load(rate, 4, 5*time.Second)
+		},
+		"one instance has a quarter of the traffic": func(f *fleet, rate float64) {
+			f.busy = 2500
+			f.load(rate, 4, 8*time.Second)
+		},
+	}
+	for _, k := range []coldCase{
+		{"usual work", 3, 1, 700, func(c *Config) {}},
+		{"long work, a short window", 1, 3, 150, func(c *Config) { c.FallMultiple, c.FallFor = 2, time.Second }},
+		{"a window of 1 s, members of eight cores", 8, 0.8, 1500, func(c *Config) { c.FallMultiple, c.FallFor, c.ColdFrom = 3, time.Second, 0.24 }},
+	} {
+		for _, instances := range []int{3, 20, 30, 300} {
+			for name, shape := range shapes {
+				for _, id := range []string{"00a", "00f"} {
+					t.Run(fmt.Sprint(k.name, ", ", instances, " instances, ", name, ", ", id), func(t *testing.T) {
+						t.Parallel()
+						worst, at, of, got, bound := math.Inf(-1), 0.0, uint64(0), 0, 0.0
+						for seed := range uint64(2) {
+							c := fleetConfig()
+							c.Instances = instances
+							for i := range c.Classes { // a client waits for a multiple of the work
+								c.Classes[i].Aim = time.Duration(float64(c.Classes[i].Aim) * k.times)
+								c.Classes[i].GiveUp = time.Duration(float64(c.Classes[i].GiveUp) * k.times)
+							}
+							k.set(&c)
+							f := newFleetOf(t, 7+seed, 4, c)
+							f.times = k.times
+							for _, m := range f.members {
+								m.cores = make([]Time, k.cores)
+							}
+							f.load(k.rate, 4, 6*time.Second)
+							m := f.members[id]
+							m.startAt, m.work = f.now, nil
+							for i := range f.routers {
+								f.step(i, List{Entries: []Entry{{Node: m.id, Zone: "a", State: Ready, Primary: m.leads, ReadyAt: f.now}}})
+								f.step(i, ProbeResult{Node: m.id, Status: Done, Role: m.role(), Position: m.position(f.now)})
+							}
+							f.load(0.001, 4, 2*ms) // what was sent before they were told is no part of it
+							m.work = nil
+							shape(f, k.rate)
+							got += len(m.work)
+							work := time.Duration(k.times * float64(mean))
+							bound = c.FallMultiple * c.ColdFrom * float64(k.cores) * c.FallFor.Seconds() / work.Seconds()
+							if over, when := f.overfull(m, c, work); over > worst {
+								worst, at, of = over, when, seed
+							}
+						}
+						t.Logf("N %.1f at first, %d pieces of work; at most %.1f requests from the bound, %.1f s after its start, seed %d", bound, got, worst, at, of)
+						if worst > 0 {
+							t.Errorf("%.1f requests of mean work too many, %.1f s after its start, seed %d", worst, at, of)
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -34,7 +35,9 @@
 	busy int            // so many requests of a hundred come to instance 0
 	came map[string]int // there, by class
 	lost map[string]int // and were refused
-	kind map[string]string
+
+	times float64 // the work of each request, as a multiple of the usual; 0 = 1
+	kind  map[string]string
 }
 
 type member struct {
@@ -128,15 +131,19 @@
 
 // step hands events to an instance and does what it asks for.
 func (f *fleet) step(i int, events ...Event) {
-	for _, a := range f.routers[i].Step(f.now, events) {
+	r := f.routers[i]
+	for _, a := range r.Step(f.now, events) {
 		switch a := a.(type) {
 		case Send:
-			q := f.routers[i].reqs[a.ID]
+			q := r.reqs[a.ID]
 			f.after(ms, func() { f.serve(i, a.ID, len(q.tries)-1, q.class.Name, f.members[a.Node]) })
 		case Probe:
 			f.probes++
 			m := f.members[a.Node]
 			f.after(2*ms, func() {
+				if f.routers[i] != r {
+					return // it has started anew
+				}
 				f.step(i, ProbeResult{Node: m.id, Status: Done, Role: m.role(), Position: m.position(f.now) - 100*ms})
 			})
 		case Timer:
@@ -180,10 +187,11 @@
 	if class == "any" {
 		work = time.Duration(float64(long) * (0.5 + f.rng.Float64()))
 	}
+	work = time.Duration(float64(work) * cmp.Or(f.times, 1))
 	m.position(f.now)
 	m.work = append(m.work, piece{f.now, work})
 	core := slices.Index(m.cores, slices.Min(m.cores))
-	began := f.now
+	began, r := f.now, f.routers[i]
 	end := max(f.now, m.cores[core]) + work
 	m.cores[core] = end
 	if class == "write" {
@@ -196,6 +204,9 @@
 		f.queued += end - work - f.now
 	}
 	f.after(end-f.now, func() {
+		if f.routers[i] != r {
+			return // it has started anew
+		}
 		switch {
 		case class == "bounded" && m.leads:
 			f.reads, f.onPrimary = f.reads+1, f.onPrimary+1
@@ -447,3 +458,19 @@
 		t.Fatalf("%d of 40 sent", sent)
 	}
 }
+
+// restart lets an instance start anew, with the list as it stands and nothing else.
+func (f *fleet) restart(i int) {
+	r, err := New(f.routers[i].cfg, uint64(f.last)*1000+uint64(i))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var l List
+	for _, g := range f.routers[i].order {
+		for _, n := range g.members {
+			l.Entries = append(l.Entries, Entry{Node: n.id, Zone: n.zone, Group: g.id, State: n.state, Primary: f.members[n.id].leads, ReadyAt: n.readyAt})
+		}
+	}
+	f.routers[i], f.woken[i], l.Kind = r, 0, ListCached
+	f.step(i, l)
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -67,6 +67,8 @@
 	credit           float64 // work that may be sent at once, where the share of this instance is under one attempt
 	most             float64 // what can be saved up of it
 	creditAt         Time    // when it was counted, 0 = not yet
+	luck             float64 // of a cold one for which less than one request can be saved up: the part of a request that credit must reach
+	luckAt           Time    // when it was drawn, 0 = it has been used
 	work, rate       float64 // done since the last count, and in a second, moving mean
 }
 
@@ -138,15 +140,6 @@
 	return max(probeGap, min(n.lag-r.bound, 2*roundGap))
 }
 
-// drawn is the part of what can be saved up for a member that an instance starts with: less than all for a cold one, another
-// at each instance, so that they do not all send at once.
-func (r *Router) drawn(warm float64) float64 {
-	if warm < 1 {
-		return r.rng.Float64()
-	}
-	return 1
-}
-
 // dear says how little a report of n is likely to be of use to a bounded read: less if it was behind, then if it is far.
 func (r *Router) dear(n *node) (d int) {
 	if !r.fresh(n) {
@@ -180,16 +173,24 @@
 //
 // Danger: all instances ask again at once and sink the list's service, so one that was turned away doubles the wait, with jitter.
 // Danger: what a silent service had to tell counts as told all the same, soon after, and the time in which sends must end
-// runs. Who has heard nothing asks again within the better part of that time, each time: calls that are not heard cost nothing.
+// runs. Who has heard nothing asks again within a part of that time that leaves the call its 2 s, each time: calls that are not
+// heard cost nothing.
 func (r *Router) unheard(k ListKind) time.Duration {
-	if gap := min(r.trackGap, r.cfg.DrainGrace*3/4); k == ListSilent && gap > 0 {
+	if gap := min(r.trackGap, r.cfg.DrainGrace/2); k == ListSilent && gap > 0 {
 		return gap/8 + time.Duration(r.rng.Int64N(int64(gap)))*7/8
 	}
 	wait := r.trackGap/2 + time.Duration(r.rng.Int64N(int64(r.trackGap)))
+	if wait > unheardMost {
+		wait = unheardMost - time.Duration(r.rng.Int64N(int64(unheardMost)*3/7))
+	}
 	r.trackGap = min(2*r.trackGap, max(trialLast, 2*r.turns()))
 	return wait
 }
 
+// unheardMost is the longest wait behind a call that brought no list. Danger: what changed counts as told 6 s after discovery had it
+// and could be reached, however the call ended; a call that waits for its turn takes 2 s of that, and its way the rest.
+const unheardMost = 3500 * time.Millisecond
+
 // begin notes that an answer is passed on as it comes. How long its peers take over the rest is no sign of the member's load
 // or health, and what it still gives must not be taken back: it is not among those that are out any more.
 // It says whether that is news.
@@ -408,6 +409,56 @@
 	}
 }
 
+// What all instances together may send a cold member in the contract's time is a budget of N requests, and beyond it twice the root
+// of N and two more are chance. least is what each may send a second, of the part of the budget that is used (coldShare).
+
+// savedShare is the part of what the budget leaves that may be saved up: the rest is room for unequal shares.
+const savedShare = 0.75
+
+// savings is how much work an instance may have saved up for a cold member, of requests of the given cost.
+//
+// Danger: what each of many saves up while little is asked for adds up, and all of it comes at once when reads move there. Where
+// the share of one instance is a few requests half of what it gets in the contract's time is little enough. Where it is less, all may
+// have saved no more than the budget leaves beside what they get meanwhile. That can be less than one request for each: then
+// luck says who may send one (coldCredit).
+func (r *Router) savings(rate, least, cost float64) float64 {
+	window := r.cfg.FallFor.Seconds()
+	if half := rate * window / 2; half >= cost {
+		return half
+	}
+	n := least / coldShare * r.instances() * window / cost
+	left := n - rate*r.instances()*window/cost
+	return cost * min(2, savedShare*left/r.instances())
+}
+
+// coldCredit counts the credit of a cold member and says whether it covers a request. Of one that costs more than can be saved up so
+// large a part is sent as the credit is of the cost: who sends is drawn anew in the time that the savings take to come.
+func (r *Router) coldCredit(n *node, rate, most, cost float64) bool {
+	if n.creditAt == 0 { // drawn, so that instances do not all send at once
+		n.credit, n.creditAt, n.luckAt = most*r.rng.Float64(), r.now, 0
+	}
+	n.credit = min(most, n.credit+rate*(r.now-n.creditAt).Seconds())
+	n.creditAt, n.most = r.now, most
+	if most >= cost {
+		return n.credit >= cost
+	}
+	if n.luckAt == 0 || r.now-n.luckAt >= seconds(most/rate) {
+		n.luck, n.luckAt = r.rng.Float64(), r.now
+	}
+	return n.credit > n.luck*cost
+}
+
+// heavy says that a request alone would take more than half of the budget, and is more than the usual work. Danger: no share of a
+// budget that is smaller than one such request keeps within it.
+func (r *Router) heavy(q *request, least float64) bool {
+	work, seen := 0.0, 0.0
+	for _, c := range r.cfg.Classes { // in their order: sums in another differ
+		k := r.classes[c.Name]
+		work, seen = work+k.seen*k.work, seen+k.seen
+	}
+	return q.class.work > max(least*r.instances()*r.cfg.FallFor.Seconds()/2, work/max(1, seen))
+}
+
 // longPart is the part of the work asked of this instance that long reads are.
 func (r *Router) longPart() float64 {
 	long, all := 0.0, 0.0
