A descriptor that nbio has given back is never shut; sockets clean of races

Cause: nbio tells of a close in a goroutine of its own, behind syscall.Close (Engine.OnClose, timer.Async), so the note that a descriptor is gone came too late for Conn.use: shutting the sending side could meet another connection with the same number, and asking for the socket's error told nothing. Change: connections that were accepted are read to the end of what has come, so that their end is found, and their descriptor retired under the lock, in the poller's goroutine before nbio closes it; own closes retire first. A count of connections made orders their first use. A reset is what the read says. One more read system call for each read event of a client.

--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -42,6 +41,8 @@
 	lingering []*Conn // those of them whose peer has yet to end its side, the oldest first: they have no listener's place any more
 	most      int     // of them
 	buf       []byte  // the loop's own, to read on
+
+	made atomic.Int64 // connections made: what was written of one before it was counted is seen by those who look at this
 }
 
 // Finishing is the number of connections that are being finished: their last bytes are not taken yet, or their peer has yet
@@ -74,26 +75,20 @@
 	poller := make([]byte, readSize)
 	e.nb.OnRead(func(c *nbio.Conn) {
 		if k, ok := c.Session().(*Conn); ok {
+			e.made.Load()
 			k.read(poller)
 		}
 	})
 	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
 		if k, ok := c.Session().(*Conn); ok {
+			e.made.Load()
 			k.took(int64(n))
 		}
 	})
-	e.nb.OnClose(func(c *nbio.Conn, err error) { // before its descriptor is given back
+	e.nb.OnClose(func(c *nbio.Conn, err error) { // in a goroutine of its own: the descriptor may be given back already
 		if k, ok := c.Session().(*Conn); ok {
-			k.file.Lock()
-			k.dead = true
-			k.file.Unlock()
-			k.over.Store(true)
-			if errors.Is(err, io.EOF) {
-				// nbio says EOF of every end that its poller is told of, and a reset is no end of what a peer had to say.
-				if n, e := unix.GetsockoptInt(c.Hash(), unix.SOL_SOCKET, unix.SO_ERROR); e == nil && n != 0 {
-					err = syscall.Errno(n)
-				}
-			}
+			e.made.Load()
+			k.retire()
 			if k.release != nil {
 				k.release()
 			}
@@ -169,10 +164,14 @@
 		if errors.Is(err, syscall.EINTR) {
 			continue
 		}
-		if err != nil && !errors.Is(err, syscall.EAGAIN) {
-			c.nb.CloseWithError(err)
+		if errors.Is(err, syscall.EAGAIN) {
+			return
 		}
 		if n <= 0 || err != nil {
+			c.retire() // nbio closes it next
+			if err != nil {
+				c.nb.CloseWithError(err)
+			}
 			return
 		}
 		c.mu.Lock()
@@ -189,8 +188,17 @@
 	}
 }
 
-// use calls f with the descriptor, unless that is given back. Guards against acting on another connection that has got the same one
-// meanwhile: the poller closes connections in a goroutine of its own.
+// retire notes that the connection has ended, or is about to be closed: its descriptor is not used any more.
+func (c *Conn) retire() {
+	c.file.Lock()
+	c.dead = true
+	c.file.Unlock()
+	c.over.Store(true)
+}
+
+// use calls f with the descriptor, unless that is given back, or is about to be. Guards against acting on another connection that has got
+// the same number meanwhile: nbio's poller closes connections in a goroutine of its own. Before that it reads, and where a
+// connection is read to the end of what has come (exact) the end is found there; elsewhere f may only look.
 func (c *Conn) use(f func(fd int)) (ok bool) {
 	c.file.Lock()
 	defer c.file.Unlock()
@@ -306,6 +314,7 @@
 	c.queued.Add(int64(len(p)))
 	if _, err := c.nb.Write(p); err != nil {
 		c.closed = true
+		c.retire()
 		return err
 	}
 	return nil
@@ -315,10 +324,16 @@
 func (c *Conn) Close() {
 	if !c.closed || c.finishing {
 		c.closed = true
-		c.nb.Close()
+		c.hangUp()
 	}
 }
 
+// hangUp closes it.
+func (c *Conn) hangUp() {
+	c.retire()
+	c.nb.Close()
+}
+
 // Flushed says whether the system has taken all that was written. Once the connection is closed it does not change.
 func (c *Conn) Flushed() bool { return c.sent.Load() == c.queued.Load() }
 
@@ -385,7 +400,7 @@
 		c.timer = c.engine.loop.After(c.within, c.wait)
 		return
 	}
-	c.nb.Close()
+	c.hangUp()
 }
 
 // shut ends the sending side and waits for the peer to end its own.
@@ -396,12 +411,12 @@
 		c.release() // what lingers has a bound of its own
 	}
 	c.timer.Stop()
-	c.timer = e.loop.After(Linger, func() { c.nb.Close() })
+	c.timer = e.loop.After(Linger, c.hangUp)
 	// Guards the descriptors: peers that never end their side must not take those that others need.
 	if e.lingering = append(e.lingering, c); len(e.lingering) > e.most {
 		oldest := e.lingering[0]
 		e.lingering = slices.Delete(e.lingering, 0, 1)
-		oldest.nb.Close()
+		oldest.hangUp()
 	}
 }
 
@@ -452,7 +467,9 @@
 		return err
 	}
 	c := &Conn{engine: e, nb: nb, release: release, post: post}
+	c.exact.Store(release != nil) // those that were accepted are finished: their end has to be seen before nbio closes them
 	nb.SetSession(c)
+	e.made.Add(1)
 	if _, err := e.nb.AddConn(nb); err != nil {
 		if release != nil {
 			release()
