Tests: a descriptor given back is not used; a message in part is waited for at the end

Cause: read again, the mend of descriptors had no test of its own, and the test of the end of a drain passed with the wait for a message that has come in part taken out: its client was a newcomer too. Change: nbio's word of a close is held back until the descriptor is gone, and it must not be used; the client has been served once before it sends a part. Both were seen to fail without their mend. No code of the program changed.

--- a/internal/clients/endings_test.go
+++ b/internal/clients/endings_test.go
@@ -111,6 +111,8 @@
 	fresh.Send(pgwire.AppendQuery(nil, sql("served")))
 	fresh.Until('Z')
 	p := pgwire.AppendQuery(nil, sql("served"))
+	part.Send(p) // it is no newcomer
+	part.Until('Z')
 	part.Send(p[:20])
 	until(t, "a part has come", func() (came bool) {
 		do(l, func() {
--- a/internal/sock/endings_test.go
+++ b/internal/sock/endings_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
 )
 
@@ -225,3 +226,20 @@
 		}
 	})
 }
+
+// nbio has closed a connection and has yet to tell so, in a goroutine of its own: its descriptor is not used any more all the same.
+func TestADescriptorThatIsGivenBackIsNotUsed(t *testing.T) {
+	_, e := start(t)
+	told := make(chan bool)
+	e.nb.OnClose(func(*nbio.Conn, error) { <-told })
+	defer close(told)
+	k, c := pair(t, e, &sink{want: 1, done: make(chan string, 9)})
+	c.Close()
+	until(t, "nbio has closed it", func() bool {
+		closed, _ := k.nb.IsClosed()
+		return closed
+	})
+	if k.use(func(int) {}) {
+		t.Fatal("its descriptor is used")
+	}
+}
