A request's time runs from when its last byte came, not from its turn on the connection

Conn.Done set cameAt to the present and simple.go gave that to the core as At. Change: sock notes when bytes come (bounded marks, also of what the system's buffer holds of a connection that is read no further); Conn.CameAt tells it for the newest message on both fronts; the core refuses at once what expired unread. A client's stall within a message is counted as before. A debug line tells how long each request had waited.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -221,12 +221,12 @@
 	asked   bool // a message has come since the start
 	faulty  bool // what it sent last was unfit
 	ended   bool
-	request string // the core's handle of the request in hand
-	held    int    // its share of front.buffered
-	kept    int    // the same, of what its Speaker keeps between requests and of the request in hand
-	size    int    // bytes of the newest message
-	taken   int    // bytes of the request in hand
-	cameAt  time.Duration
+	request string        // the core's handle of the request in hand
+	held    int           // its share of front.buffered
+	kept    int           // the same, of what its Speaker keeps between requests and of the request in hand
+	size    int           // bytes of the newest message
+	taken   int           // bytes of the request in hand
+	fed     int64         // bytes that its reader was given
 	openAt  time.Duration // when it was accepted
 	lastAt  time.Duration // when a message was whole or an answer was written last
 	partAt  time.Duration // since when a part of a message waits, 0 = none does
@@ -320,8 +320,8 @@
 	if c.ended {
 		return // it is closed once it has taken its last answer
 	}
-	c.cameAt = c.front.loop.Now()
-	c.moreAt = c.cameAt
+	c.moreAt = c.front.loop.Now()
+	c.fed += int64(len(p))
 	c.reader.Feed(p)
 	c.read()
 	c.count()
@@ -340,7 +340,7 @@
 	if busy || c.held == 0 {
 		c.partAt = 0
 	} else if c.partAt == 0 {
-		c.partAt = c.cameAt
+		c.partAt = f.loop.Now() // the time spent behind an earlier answer is no stall of the client's
 	}
 	full := c.held > 0 && f.buffered > f.lim.Buffered
 	if full && c.partAt > 0 {
@@ -356,7 +356,6 @@
 func (c *Conn) Taken() {
 	if c.choked {
 		c.choked = false
-		c.cameAt = c.front.loop.Now()
 		c.read()
 		c.count()
 	}
@@ -473,8 +472,9 @@
 	c.rest()
 }
 
-// CameAt is when the message in hand had come.
-func (c *Conn) CameAt() time.Duration { return c.cameAt }
+// CameAt is when the last byte of the newest message had come to this machine. The client's time runs from its send, whatever its
+// message waited behind.
+func (c *Conn) CameAt() time.Duration { return c.sock.CameAt(c.fed - int64(c.reader.Waiting())) }
 
 // Limits are those of the program.
 func (c *Conn) Limits() limits.Limits { return c.front.lim }
@@ -535,8 +535,7 @@
 	c.request, c.flow = "", nil
 	c.Release(c.taken)
 	c.taken = 0
-	c.cameAt = c.front.loop.Now() // the time spent behind an earlier answer does not count
-	c.lastAt = c.cameAt
+	c.lastAt = c.front.loop.Now()
 	if c.reader.Waiting() > 0 && c.sock.Left(true) {
 		return // nothing of what it sent ahead is begun: its end is on its way here
 	}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -30,6 +30,8 @@
 	left   chan string
 
 	source *source
+
+	newest atomic.Pointer[router.Request]
 }
 
 func (k *core) Turn(router.Request, time.Duration) { k.turned.Add(1) }
@@ -38,6 +40,7 @@
 	if q.Class == "odd" {
 		return "", router.ErrClass
 	}
+	k.newest.Store(&q)
 	k.taken.Add(1)
 	k.loop.Post(func() {
 		switch q.Class {
--- a/internal/clients/simple.go
+++ b/internal/clients/simple.go
@@ -59,7 +59,7 @@
 	h, err := job.Head()
 	if err == nil {
 		err = c.Take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
-			At: c.cameAt, After: h.After, Retry: h.Retry, Job: job}, c)
+			At: c.CameAt(), After: h.After, Retry: h.Retry, Job: job}, c)
 	}
 	if err != nil {
 		c.Fault()
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -13,6 +13,12 @@
 		r.loop.Post(func() { r.refuse(q, 0) })
 		return
 	}
+	if q.dieAt <= r.loop.Now() {
+		// It waited unread behind others for all of its time: nobody waits for what it would run.
+		r.count.Expired++
+		r.loop.Post(func() { r.refuseFor(q, 0, "its time was over before it could be begun") })
+		return
+	}
 	r.asks(q)
 	if after, refused := r.turnedAway(q); refused {
 		r.count.Turned++
--- a/internal/router/book.go
+++ b/internal/router/book.go
@@ -11,6 +11,7 @@
 type Counts struct {
 	Taken, Served, Refused, Failed, Left uint64
 	Turned                               uint64 // of those refused, at the door while a site was lost
+	Expired                              uint64 // of those refused, because their time was over before they could be begun
 	Attempts                             [balance.Miss + 1]uint64
 }
 
--- a/internal/router/takein.go
+++ b/internal/router/takein.go
@@ -41,6 +41,7 @@
 	if r.endAt > 0 {
 		t.dieAt = min(t.dieAt, r.endAt)
 	}
+	r.log.Debug("taken", "request", q.Label, "class", q.Class, "deadline", q.Deadline, "waited", r.loop.Now()-q.At)
 	r.admit(t)
 	return t.id, nil
 }
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -144,6 +144,10 @@
 	in     []byte // what has come and the loop has not looked at
 	full   bool   // and more may be there
 	posted bool   // the loop is told of it
+
+	stamped bool     // it is noted when what comes has come; set before anything has
+	got     int64    // bytes that were read
+	arrived arrivals // when
 }
 
 // read keeps what has come for the loop. Guards memory against a peer that sends faster than the loop looks at it: beyond
@@ -158,6 +162,7 @@
 		c.mu.Unlock()
 		// The poller closes a connection as soon as its peer has ended it. What was sent before must not be lost.
 		if full && !c.ending() {
+			c.unread()
 			return
 		}
 		n, err := c.nb.Read(buf)
@@ -176,6 +181,7 @@
 		}
 		c.mu.Lock()
 		c.in = append(c.in, buf[:n]...)
+		c.arrive(n)
 		post := !c.posted
 		c.posted = true
 		c.mu.Unlock()
@@ -467,6 +473,7 @@
 		return err
 	}
 	c := &Conn{engine: e, nb: nb, release: release, post: post}
+	c.stamped = release != nil
 	c.exact.Store(release != nil) // those that were accepted are finished: their end has to be seen before nbio closes them
 	nb.SetSession(c)
 	e.made.Add(1)
