Requests of one connection are in hand together, and their answers leave in order

Ruled out as the whole mend: ending the head early for those behind, which fails writes for readers' sake. Answers have to leave in the requests' order; the work need not wait. Change: `clients.Turn` is an answer's place in its connection's line. Reads begin beside those before them; a write waits for all before it, a read that must see writes for the writes (its session's, or all), so that effects are those of one after the other; a read behind its session's write gets the position that its client could not send. Bounds: `Limits.Together` (a sixteenth of the places) a connection, half of `Buffered` for answers that wait, `High` a connection; a long answer is held at its db machine until its turn. Errors, empty queries, Terminate and malformed messages keep their place. Tests that used the one request in hand now use the core's client of it, as strict; the fake core says which classes write.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -22,13 +22,15 @@
 	// Take refuses with an error what must not reach a db machine.
 	Take(q router.Request, c router.Client) (id string, err error)
 	Leave(id string)
+	// Order tells what a class's requests wait for of those before them on the same connection.
+	Order(class string) router.Order
 	// Turn enters a request that is refused for want of room.
 	Turn(q router.Request, after time.Duration)
 }
 
 // Speaker works on the messages of one connection.
 type Speaker interface {
-	// Message takes the next message; it is not called while a request is in hand. An error ends the connection.
+	// Message takes the next message; it is not called while a request of Conn.Take is in hand. An error ends the connection.
 	Message(m pgwire.Message) error
 	// Idle says that the client has asked for nothing that is still to be answered.
 	Idle() bool
@@ -91,7 +93,7 @@
 	for c := range f.conns {
 		if why := c.overdue(now); why != "" {
 			c.fatal(pgwire.ProtocolViolation, why)
-		} else if unread += c.unsent; unread > f.lim.Buffered && c.unsent > 0 && c.flow == nil && c.request == "" {
+		} else if unread += c.unsent; unread > f.lim.Buffered && c.unsent > 0 && c.flow == nil && !c.busy() {
 			// Guards memory: many that do not read their answers are too much where each alone is not.
 			c.fatal(pgwire.TooLarge, "too much is left unread")
 		} else if c.held > 0 {
@@ -199,7 +201,7 @@
 func (f *Front) finish() {
 	now := f.loop.Now()
 	for c := range f.conns {
-		if c.request != "" {
+		if c.busy() {
 			continue
 		}
 		if part := c.reader.Waiting() > 0 || !c.sock.Quiet(); !c.fresh(now) && !part || now-f.finishing > f.lim.ClientMute {
@@ -221,7 +223,11 @@
 	asked   bool // a message has come since the start
 	faulty  bool // what it sent last was unfit
 	ended   bool
-	request string        // the core's handle of the request in hand
+	request string  // the core's handle of the one request in hand that nothing is read behind
+	line    []*Turn // the answers that are owed, in their order
+	backlog int     // bytes of them that wait for others
+	commits commits
+	closing bool          // it is ended once they are written
 	held    int           // its share of front.buffered
 	kept    int           // the same, of what its Speaker keeps between requests and of the request in hand
 	size    int           // bytes of the newest message
@@ -249,7 +255,7 @@
 	switch {
 	case now-c.tookAt > lim.ClientUnread:
 		return "answers are not read"
-	case c.request != "":
+	case c.busy():
 		return ""
 	case !c.started && now-c.openAt > lim.ClientStart:
 		return "no startup message in time"
@@ -276,7 +282,7 @@
 	case !c.asked: // usual clients ask at once
 		idle = lim.ClientMute
 	}
-	return c.request == "" && c.partAt == 0 && c.speaker.Idle() && now-c.lastAt > idle && c.sock.Quiet()
+	return !c.busy() && c.partAt == 0 && c.speaker.Idle() && now-c.lastAt > idle && c.sock.Quiet()
 }
 
 // End closes the connection.
@@ -302,6 +308,16 @@
 		f.core.Leave(c.request)
 		c.request = ""
 	}
+	line := c.line
+	c.line = nil
+	for _, t := range line {
+		if t.flow != nil {
+			t.flow.Hold(false)
+		}
+		if t.id != "" {
+			f.core.Leave(t.id)
+		}
+	}
 }
 
 // Gone implements router.Client.
@@ -336,7 +352,7 @@
 	}
 	f.buffered += c.reader.Waiting() - c.held
 	c.held = c.reader.Waiting()
-	busy := c.request != "" || c.choked
+	busy := c.busy() || c.choked
 	if busy || c.held == 0 {
 		c.partAt = 0
 	} else if c.partAt == 0 {
@@ -395,9 +411,9 @@
 	c.End()
 }
 
-// read works on what has come until a request is in hand.
+// read works on what has come until a request has to wait.
 func (c *Conn) read() {
-	for !c.ended && c.request == "" && !c.sock.Left(false) {
+	for !c.ended && !c.blocked() && !c.sock.Left(false) {
 		if c.sock.Unsent() > c.front.lim.High {
 			c.choked = true
 			c.sock.Await(c.front.lim.Low)
@@ -405,7 +421,7 @@
 		}
 		m, ok, err := c.reader.Next()
 		if err != nil {
-			c.fatal(pgwire.ProtocolViolation, err.Error())
+			c.last(pgwire.ProtocolViolation, err.Error())
 			return
 		}
 		if !ok {
@@ -419,13 +435,27 @@
 			err = c.speaker.Message(m)
 		}
 		if err != nil {
-			c.fatal(pgwire.ProtocolViolation, err.Error())
+			c.last(pgwire.ProtocolViolation, err.Error())
 		}
 	}
 }
 
-// Write sends p; a broken connection is the client's leaving.
+// Write sends p, behind the answers that are owed.
 func (c *Conn) Write(p []byte) {
+	n := len(c.line)
+	if n == 0 || c.ended {
+		c.send(p)
+		return
+	}
+	if !c.line[n-1].text {
+		c.line = append(c.line, &Turn{conn: c, state: answered, text: true})
+		n++
+	}
+	c.line[n-1].keep(p)
+}
+
+// send writes p now; a broken connection is the client's leaving.
+func (c *Conn) send(p []byte) {
 	if !c.ended && (c.sock.Write(p) != nil || c.sock.Unsent() > c.front.lim.Unread) {
 		c.End() // also guards memory against a client that asks and does not read
 	} else if !c.ended && c.sock.Unsent() > 0 {
@@ -436,7 +466,7 @@
 func (c *Conn) fatal(code, text string) {
 	c.front.log.Debug("client turned away", "code", code, "why", text, "asked", c.asked)
 	if c.flow == nil { // within a row its bytes would be taken for the value's
-		c.Write(pgwire.AppendError(nil, pgwire.Error{Fatal: true, Code: code, Message: text}))
+		c.send(pgwire.AppendError(nil, pgwire.Error{Fatal: true, Code: code, Message: text}))
 	}
 	c.End()
 }
@@ -444,7 +474,7 @@
 // rest closes a connection between requests when the program is about to end. One that has only just come is left to bring what it
 // came with: usual clients ask at once, and the close would cross it.
 func (c *Conn) rest() {
-	if (c.front.draining || c.front.empty) && c.started && !c.ended && c.request == "" && c.reader.Waiting() == 0 && c.speaker.Idle() &&
+	if (c.front.draining || c.front.empty) && c.started && !c.ended && !c.busy() && c.reader.Waiting() == 0 && c.speaker.Idle() &&
 		!c.fresh(c.front.loop.Now()) && c.sock.Quiet() {
 		c.End()
 	}
@@ -535,8 +565,8 @@
 	c.request, c.flow = "", nil
 	c.Release(c.taken)
 	c.taken = 0
-	c.lastAt = c.front.loop.Now()
 	if c.reader.Waiting() > 0 && c.sock.Left(true) {
+		c.lastAt = c.front.loop.Now()
 		return // nothing of what it sent ahead is begun: its end is on its way here
 	}
 	if next != nil && !c.ended {
@@ -544,9 +574,7 @@
 			c.fatal(pgwire.ProtocolViolation, err.Error())
 		}
 	}
-	c.read()
-	c.count()
-	c.rest()
+	c.next()
 }
 
 var errStart = errors.New("unsupported startup message")
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -31,7 +31,14 @@
 
 	source *source
 
-	newest atomic.Pointer[router.Request]
+	newest  atomic.Pointer[router.Request]
+	asked   []router.Request // owned by the loop
+	clients []router.Client  // theirs
+}
+
+// Order has "waits" stand for writes, "free" for reads that wait for nothing and "own" for those that see their session's writes.
+func (k *core) Order(class string) router.Order {
+	return router.Order{Writes: class == "waits", Sees: class == "own", SeesAll: class != "free" && class != "own"}
 }
 
 func (k *core) Turn(router.Request, time.Duration) { k.turned.Add(1) }
@@ -41,6 +48,7 @@
 		return "", router.ErrClass
 	}
 	k.newest.Store(&q)
+	k.asked, k.clients = append(k.asked, q), append(k.clients, c)
 	k.taken.Add(1)
 	k.loop.Post(func() {
 		switch q.Class {
@@ -85,8 +93,8 @@
 		n := min(s.left, 10_000)
 		s.left -= n
 		s.c.Part(make([]byte, n))
-		if c, ok := s.c.(*simple); ok {
-			s.most = max(s.most, c.sock.Unsent())
+		if c, ok := s.c.(*reply); ok {
+			s.most = max(s.most, c.conn.sock.Unsent())
 		}
 		if s.cut && s.left < longest/2 {
 			s.left = 0
--- a/internal/clients/endings_test.go
+++ b/internal/clients/endings_test.go
@@ -81,13 +81,13 @@
 	until(t, "it is taken", func() bool { return k.len() == 1 })
 	conn := only(t, f, l)
 	until(t, "the other one has come", func() (came bool) {
-		do(l, func() { came = conn.reader.Waiting() > 0 })
+		do(l, func() { came = len(conn.line) == 2 })
 		return came
 	})
 	busy, free, answered := make(chan bool), make(chan bool), make(chan bool)
 	l.Post(func() { close(busy); <-free })
 	l.Post(func() { // the answer is in the queue before the end is
-		conn.speaker.(*simple).Served(&servers.Answer{})
+		k.clients[0].Served(&servers.Answer{})
 		close(answered)
 	})
 	<-busy
--- /dev/null
+++ b/internal/clients/line.go
@@ -0,0 +1,298 @@
+package clients
+
+import (
+	"time"
+
+	"limeladder/internal/pgwire"
+	"limeladder/internal/router"
+)
+
+// Requests that a client sends without waiting for answers are in hand together, and their answers leave in the order of the
+// requests. One that is slow holds up the answers behind it, which the protocol asks for, but not the work: each is decided within
+// its own client's time.
+//
+// What is done is what would be done one after the other. A write begins once all before it on the connection is decided, and a
+// read that has to see what was written before it waits for those writes. Other reads wait for nothing.
+
+// Turn is the place of one answer in a connection's line.
+type Turn struct {
+	conn  *Conn
+	q     router.Request
+	to    Reply
+	order router.Order
+	state state
+	text  bool        // it answers no request
+	id    string      // the core's handle, "" = it is not in its hands
+	size  int         // bytes of its statement
+	room  int         // bytes set aside for its answer, as others stand before it
+	out   []byte      // what waits for those before it
+	kept  int         // what of it is counted
+	flow  router.Flow // of an answer that is passed on as it comes
+}
+
+type state int
+
+const (
+	waiting state = iota // for others of its connection
+	inHand
+	answered
+)
+
+// Reply is a request's client that can also be told that the request is unfit.
+type Reply interface {
+	router.Client
+	Unfit(err error)
+}
+
+// turnBytes is what a turn costs beside its bytes.
+const turnBytes = 256
+
+// Join hands a request to the core as soon as those before it on the connection let it, and t its place for the answer.
+func (c *Conn) Join(t *Turn, q router.Request, to Reply) {
+	q.Tenant, q.Client = c.user, c.from
+	*t = Turn{conn: c, q: q, to: to, order: c.front.core.Order(q.Class)}
+	c.line = append(c.line, t)
+	if !c.Hold(c.size) {
+		c.front.core.Turn(q, roomAfter)
+		to.Unfit(errRoom)
+		return
+	}
+	t.size = c.size
+	c.advance()
+}
+
+// advance begins the newest request if it may be: nothing is read behind one that waits.
+func (c *Conn) advance() {
+	if n := len(c.line); n > 0 && c.line[n-1].state == waiting && c.may(c.line[n-1]) {
+		t := c.line[n-1]
+		t.state = inHand
+		if t.order.Sees {
+			t.q.After = max(t.q.After, c.commits.of(t.q)) // its client could not know of them when it sent this
+		}
+		id, err := c.front.core.Take(t.q, t.to)
+		if err != nil {
+			t.to.Unfit(err)
+			return
+		}
+		t.id = id
+	}
+}
+
+// may says whether a request can be begun beside those before it, and sets aside the room for its answer.
+func (c *Conn) may(t *Turn) bool {
+	before := 0
+	for _, u := range c.line {
+		if u == t {
+			break
+		}
+		if u.state == answered {
+			continue
+		}
+		before++
+		sees := t.order.SeesAll || t.order.Sees && u.q.Session == t.q.Session
+		if t.order.Writes || u.order.Writes && sees || t.q.Label != "" && t.q.Label == u.q.Label {
+			return false
+		}
+	}
+	lim := &c.front.lim
+	if before == 0 {
+		return true
+	}
+	// Guards the places of other connections' requests, and the memory: with half of the room for statements and answers taken, requests
+	// sent ahead wait until they are the first.
+	if before >= lim.Together || c.front.buffered+lim.Stream > lim.Buffered/2 || !c.Hold(lim.Stream) {
+		return false
+	}
+	t.room = lim.Stream
+	return true
+}
+
+// first says that no answer stands before it.
+func (t *Turn) first() bool { return len(t.conn.line) > 0 && t.conn.line[0] == t }
+
+// keep adds to what waits for the answers before it.
+func (t *Turn) keep(p []byte) {
+	n := len(p)
+	if len(t.out) == 0 {
+		n += turnBytes
+	}
+	t.out = append(t.out, p...)
+	t.kept += n
+	t.conn.backlog += n
+	t.conn.kept += n
+	t.conn.front.buffered += n
+}
+
+// free gives back what is kept of it.
+func (t *Turn) free() (p []byte) {
+	p, t.out = t.out, nil
+	t.conn.backlog -= t.kept
+	t.conn.Release(t.kept)
+	t.kept = 0
+	return p
+}
+
+// Gone implements router.Client.
+func (t *Turn) Gone(look bool) bool { return t.conn.Gone(look) }
+
+// Committed implements router.Committer.
+func (t *Turn) Committed(position time.Duration) { t.conn.commits.note(t.q, position) }
+
+// Answer gives the answer, or what is left of it.
+func (t *Turn) Answer(p []byte) {
+	c := t.conn
+	c.Release(t.size + t.room)
+	t.size, t.room, t.id, t.state = 0, 0, "", answered
+	if c.ended {
+		return
+	}
+	if !t.first() {
+		t.keep(p)
+	} else {
+		c.flow = nil
+		c.line = c.line[1:]
+		c.send(p)
+		c.settle()
+	}
+	c.next()
+}
+
+// Stream begins an answer that is passed on as it comes. Behind others its source is held until its turn.
+func (t *Turn) Stream(p []byte, f router.Flow) {
+	t.flow = f
+	if t.first() {
+		t.conn.Stream(p, f)
+		return
+	}
+	f.Hold(true)
+	t.keep(p)
+}
+
+// Part passes on the next piece.
+func (t *Turn) Part(p []byte) {
+	if t.conn.ended {
+		return
+	}
+	if t.first() {
+		t.conn.Part(p)
+	} else {
+		t.keep(p)
+	}
+}
+
+// Cut ends an answer that was begun and will not become whole. Only the connection's end can say so, unless nothing of it has
+// left yet: then the given error takes its place.
+func (t *Turn) Cut(instead []byte) {
+	t.id = ""
+	if t.conn.ended || t.first() {
+		t.conn.Cut()
+		return
+	}
+	t.free()
+	t.Answer(instead)
+}
+
+// settle writes the answers whose turn has come.
+func (c *Conn) settle() {
+	for len(c.line) > 0 && !c.ended {
+		t := c.line[0]
+		p := t.free()
+		if t.state == answered {
+			c.line = c.line[1:]
+			c.send(p)
+			continue
+		}
+		c.Release(t.room)
+		t.room = 0
+		if t.flow != nil {
+			c.Stream(p, t.flow)
+			if !c.ended && c.sock.Unsent() <= c.front.lim.High {
+				t.flow.Hold(false)
+			}
+		}
+		return
+	}
+}
+
+// next goes on behind an answer.
+func (c *Conn) next() {
+	if c.ended {
+		return
+	}
+	c.lastAt = c.front.loop.Now()
+	if len(c.line) == 0 {
+		if c.closing {
+			c.End()
+			return
+		}
+		if c.reader.Waiting() == 0 {
+			c.commits = commits{} // from here on its client knows of them
+		}
+	}
+	waits := len(c.line) > 0 && c.line[len(c.line)-1].state == waiting
+	if (waits || c.reader.Waiting() > 0) && c.sock.Left(true) {
+		return // nothing of what it sent ahead is begun: its end is on its way here
+	}
+	c.advance()
+	c.read()
+	c.count()
+	c.rest()
+}
+
+// busy says that an answer is owed.
+func (c *Conn) busy() bool { return c.request != "" || len(c.line) > 0 }
+
+// blocked says that no further message is read for now.
+func (c *Conn) blocked() bool {
+	n := len(c.line)
+	return c.request != "" || c.closing || n > 0 && c.line[n-1].state == waiting || c.backlog > c.front.lim.High
+}
+
+// Quit ends the connection once what it was sent before is answered.
+func (c *Conn) Quit() {
+	if c.closing = true; !c.busy() {
+		c.End()
+	}
+}
+
+// last writes a fatal error in its turn, behind the answers that are owed, and ends the connection.
+func (c *Conn) last(code, text string) {
+	if !c.busy() {
+		c.fatal(code, text)
+		return
+	}
+	c.front.log.Debug("client turned away", "code", code, "why", text, "owed", len(c.line))
+	c.Write(pgwire.AppendError(nil, pgwire.Error{Fatal: true, Code: code, Message: text}))
+	c.closing = true
+}
+
+// commits are the positions of the writes that a connection has made while more of it waited: those reads of the same session that it
+// had sent behind them can't carry the position. Where there are too many sessions the newest position counts for all.
+type commits struct {
+	by  map[session]time.Duration
+	all time.Duration
+}
+
+type session struct {
+	name  string
+	group int64
+}
+
+const commitsMost = 64
+
+func (m *commits) of(q router.Request) time.Duration {
+	return max(m.all, m.by[session{q.Session, q.Group}])
+}
+
+func (m *commits) note(q router.Request, position time.Duration) {
+	if q.Session == "" || position <= m.of(q) {
+		return
+	}
+	if m.by == nil || len(m.by) >= commitsMost {
+		for _, p := range m.by {
+			m.all = max(m.all, p)
+		}
+		m.by = map[session]time.Duration{}
+	}
+	m.by[session{q.Session, q.Group}] = position
+}
--- a/internal/clients/pipeline_test.go
+++ b/internal/clients/pipeline_test.go
@@ -1,14 +1,91 @@
 package clients
 
 import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"limeladder/internal/limits"
 	"limeladder/internal/pgwire"
+	"limeladder/internal/router"
 	"limeladder/internal/servers"
 	"limeladder/internal/standin"
 )
 
+// Classes of the test's core that it does not answer by itself: "free" reads wait for nothing, "sees" waits for writes, "own" for those of
+// its session, "waits" is a write.
+
+func ask(id, class string) []byte {
+	return pgwire.AppendQuery(nil, fmt.Sprintf("/* id=%s,c=%s,d=900,cluster=1 */ SELECT 1", id, class))
+}
+
+func value(text string) *servers.Answer {
+	p := pgwire.Append(nil, 'T', []byte{0, 0})
+	p = pgwire.Append(p, 'D', []byte{0, 1, 0, 0, byte(len(text) >> 8), byte(len(text))}, []byte(text))
+	return &servers.Answer{Messages: pgwire.Append(p, 'C', []byte("SELECT 1\x00"))}
+}
+
+// labels are the ids of what the core was given so far, in order.
+func (k *core) labels() (ids []string) {
+	do(k.loop, func() {
+		for _, q := range k.asked {
+			ids = append(ids, q.Label)
+		}
+	})
+	return ids
+}
+
+// client is the one of the request with that id.
+func (k *core) client(id string) (c router.Client) {
+	for i, q := range k.asked {
+		if q.Label == id {
+			c = k.clients[i]
+		}
+	}
+	return c
+}
+
+func (k *core) serve(ids ...string) {
+	do(k.loop, func() {
+		for _, id := range ids {
+			k.client(id).Served(value(id))
+		}
+	})
+}
+
+// taken waits until the core was given just these, in any order, and the connection reads no further.
+func taken(t *testing.T, k *core, want ...string) {
+	t.Helper()
+	slices.Sort(want)
+	until(t, "taken: "+strings.Join(want, " "), func() bool { return len(k.labels()) >= len(want) })
+	if got := k.labels(); !slices.Equal(slices.Sorted(slices.Values(got)), want) {
+		t.Fatalf("taken %v, not %v", got, want)
+	}
+}
+
+// told reads the values that come, by their ids, or the codes of errors.
+func told(t *testing.T, c *standin.Client, want ...string) {
+	t.Helper()
+	for i, w := range want {
+		a := c.Until('Z')
+		if got := a.Code + strings.Map(func(r rune) rune {
+			if r < ' ' {
+				return -1
+			}
+			return r
+		}, a.Value); got != w {
+			t.Fatalf("answer %d of %v is %+v", i, want, a)
+		}
+	}
+}
+
+func batch(parts ...[]byte) []byte { return slices.Concat(parts...) }
+
 // A request that waited behind another one came when its last byte did: its client's time runs from then, not from its turn.
 func TestTheTimeOfWhatWaitsRunsFromWhenItCame(t *testing.T) {
 	f, k, l, addr := start(t)
@@ -17,14 +94,449 @@
 	until(t, "the head is taken", func() bool { return k.len() == 1 })
 	conn := only(t, f, l)
 	until(t, "the other one has come", func() (came bool) {
-		do(l, func() { came = conn.reader.Waiting() > 0 })
+		do(l, func() { came = len(conn.line) == 2 })
 		return came
 	})
 	came := l.Now()
 	until(t, "time has passed", func() bool { return l.Now() > came+50*time.Millisecond })
-	do(l, func() { conn.speaker.(*simple).Served(&servers.Answer{}) })
+	do(l, func() { k.clients[0].Served(&servers.Answer{}) })
 	c.Until('Z')
 	if q := k.newest.Load(); q.Class != "served" || q.At > came {
 		t.Fatalf("%s counts from %v behind its coming", q.Class, q.At-came)
 	}
 }
+
+// The same of what lies in the reader, since the one before it waits.
+func TestTheTimeOfWhatIsNotCutYetRunsFromWhenItCame(t *testing.T) {
+	f, k, l, addr := start(t)
+	c := standin.Dial(t, addr)
+	c.Send(batch(ask("a", "free"), ask("b", "waits"), ask("c", "free")))
+	taken(t, k, "a")
+	conn := only(t, f, l)
+	until(t, "all has come", func() (came bool) {
+		do(l, func() { came = len(conn.line) == 2 && conn.reader.Waiting() == len(ask("c", "free")) })
+		return came
+	})
+	came := l.Now()
+	until(t, "time has passed", func() bool { return l.Now() > came+50*time.Millisecond })
+	k.serve("a")
+	taken(t, k, "a", "b", "c")
+	do(l, func() {
+		for _, q := range k.asked {
+			if q.At > came {
+				t.Errorf("%s counts from %v behind its coming", q.Label, q.At-came)
+			}
+		}
+	})
+}
+
+// Reads sent in one write are in hand together, though the first is held for ever; their answers leave in order, each its own.
+func TestReadsOfOneConnectionAreInHandTogether(t *testing.T) {
+	for _, n := range []int{10, 100} {
+		_, k, l, addr := start(t)
+		c := standin.Dial(t, addr)
+		var all []byte
+		var ids []string
+		for i := range n {
+			ids = append(ids, fmt.Sprintf("r%02d", i))
+			all = append(all, ask(ids[i], "free")...)
+		}
+		c.Send(all)
+		most := min(n, limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second).Together)
+		taken(t, k, ids[:most]...)
+		r := rand.New(rand.NewPCG(1, uint64(n)))
+		go func() {
+			open := map[string]bool{}
+			for done := 0; done < n; {
+				for _, id := range k.labels() {
+					if _, known := open[id]; !known {
+						open[id] = true
+					}
+				}
+				var now []string
+				for id, is := range open {
+					if is {
+						now = append(now, id)
+					}
+				}
+				slices.Sort(now)
+				r.Shuffle(len(now), func(i, j int) { now[i], now[j] = now[j], now[i] })
+				for _, id := range now[:(len(now)+1)/2] {
+					open[id] = false
+					done++
+					k.serve(id)
+				}
+			}
+		}()
+		told(t, c, ids...)
+		do(l, func() {
+			if len(k.asked) != n {
+				t.Errorf("%d taken of %d", len(k.asked), n)
+			}
+		})
+	}
+}
+
+// What is done is what would be done one after the other: a write waits for all before it, and reads that have to see it wait for it.
+// Others go on beside it.
+func TestOrderOfEffects(t *testing.T) {
+	f, k, l, addr := start(t)
+	c := standin.Dial(t, addr)
+	c.Send(batch(ask("a", "free"), ask("b", "free"), ask("w", "waits"), ask("d", "free"), ask("s", "sees"), ask("e", "free")))
+	conn := only(t, f, l)
+	waits := func(what string) {
+		t.Helper()
+		until(t, what+" waits", func() (is bool) {
+			do(l, func() {
+				n := len(conn.line)
+				is = n > 0 && conn.line[n-1].state == waiting && conn.line[n-1].q.Label == what
+			})
+			return is
+		})
+	}
+	waits("w")
+	taken(t, k, "a", "b")
+	k.serve("b")
+	waits("w")
+	taken(t, k, "a", "b")
+	k.serve("a")
+	waits("s")
+	taken(t, k, "a", "b", "w", "d")
+	k.serve("d")
+	waits("s")
+	taken(t, k, "a", "b", "w", "d")
+	k.serve("w")
+	taken(t, k, "a", "b", "w", "d", "s", "e")
+	k.serve("e", "s")
+	told(t, c, "a", "b", "w", "d", "s", "e")
+}
+
+// A read of a session that was sent behind a write of it gets the write's position, which its client could not know; others don't.
+func TestAPipelinedReadSeesItsSessionsWrite(t *testing.T) {
+	_, k, l, addr := start(t)
+	c := standin.Dial(t, addr)
+	of := func(id, class, session string) []byte {
+		return pgwire.AppendQuery(nil, fmt.Sprintf("/* id=%s,c=%s,d=900,cluster=1,after=5 */ SELECT data FROM facts WHERE code = '%s'", id, class, session))
+	}
+	c.Send(batch(of("w", "waits", "mine"), of("other", "own", "another"), of("own", "own", "mine"), of("more", "own", "another")))
+	taken(t, k, "w", "other")
+	do(l, func() {
+		w := k.client("w")
+		w.(router.Committer).Committed(7 * time.Second)
+		w.Served(value("w"))
+	})
+	taken(t, k, "w", "other", "own", "more")
+	do(l, func() {
+		for _, q := range k.asked {
+			want := 5 * time.Millisecond
+			if q.Label == "own" {
+				want = 7 * time.Second
+			}
+			if q.After != want {
+				t.Errorf("%s has to see %v, not %v", q.Label, q.After, want)
+			}
+		}
+	})
+	k.serve("own", "other", "more")
+	told(t, c, "w", "other", "own", "more")
+	c.Send(of("later", "own", "mine")) // its client knows
+	taken(t, k, "w", "other", "own", "more", "later")
+	do(l, func() {
+		if q := k.asked[4]; q.After != 5*time.Millisecond {
+			t.Errorf("it has to see %v", q.After)
+		}
+	})
+}
+
+// One that is refused, unfit or failed, an empty query, and a SET, each in its place, spoil none behind them.
+func TestFaultsAmongPipelinedRequests(t *testing.T) {
+	f, k, l, addr := start(t)
+	do(l, f.Ready)
+	c := standin.Dial(t, addr)
+	c.Send(batch(ask("a", "free"), ask("x", "odd"), pgwire.AppendQuery(nil, ""), ask("b", "free"), pgwire.AppendQuery(nil, "SET a = 1"),
+		ask("c", "free"), ask("d", "free"), ask("e", "waits")))
+	taken(t, k, "a", "b", "c", "d")
+	do(l, func() { k.client("c").Refused(time.Second); k.client("b").Failed("why") })
+	k.serve("d", "a")
+	for i, want := range []string{"TDCZ", "EZ42601", "IZ", "EZ08007", "EZ42601", "EZ53300", "TDCZ"} {
+		if a := c.Until('Z'); a.Types+a.Code != want {
+			t.Fatalf("answer %d: %+v", i, a)
+		}
+	}
+	taken(t, k, "a", "b", "c", "d", "e")
+	k.serve("e")
+	told(t, c, "e")
+}
+
+// What can't be read ends the connection in order: those before it are answered, then comes the error, and nothing behind it is taken.
+func TestGarbageBehindPipelinedRequests(t *testing.T) {
+	for name, bad := range map[string][]byte{"type": {'?', 0, 0, 0, 4}, "length": {'Q', 0x7f, 0, 0, 0}, "body": {'Q', 0, 0, 0, 5, 'x'}} {
+		_, k, l, addr := start(t)
+		c := standin.Dial(t, addr)
+		c.Send(batch(ask("a", "free"), ask("b", "free"), bad, ask("c", "free")))
+		taken(t, k, "a", "b")
+		k.serve("b")
+		k.serve("a")
+		told(t, c, "a", "b")
+		if a := c.Until('Z'); !a.Ended || a.Types != "E" || a.Code != pgwire.ProtocolViolation {
+			t.Errorf("%s: %+v", name, a)
+		}
+		do(l, func() {
+			if len(k.asked) != 2 {
+				t.Errorf("%s: %d taken", name, len(k.asked))
+			}
+		})
+	}
+}
+
+// A client that says goodbye behind its requests still gets their answers, and an end.
+func TestTerminateBehindPipelinedRequests(t *testing.T) {
+	_, k, _, addr := start(t)
+	c := standin.Dial(t, addr)
+	c.Send(batch(ask("a", "free"), ask("b", "free"), pgwire.Append(nil, 'X'), ask("c", "free")))
+	taken(t, k, "a", "b")
+	k.serve("b", "a")
+	told(t, c, "a", "b")
+	if a := c.Until('Z'); !a.Ended || a.Cut {
+		t.Fatalf("%+v", a)
+	}
+	taken(t, k, "a", "b")
+}
+
+// A client that goes takes with it all that it has in hand, and what waits is not begun.
+func TestAClientThatPipelinesAndGoes(t *testing.T) {
+	f, k, l, addr := start(t)
+	c := standin.Dial(t, addr)
+	c.Send(batch(ask("a", "free"), ask("b", "free"), ask("w", "waits"), ask("c", "free")))
+	conn := only(t, f, l)
+	until(t, "the write waits", func() (is bool) { do(l, func() { is = len(conn.line) == 3 }); return is })
+	k.serve("b")
+	c.Close()
+	select {
+	case id := <-k.left:
+		if id != "a" {
+			t.Fatalf("%s is given up", id)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("its request is kept")
+	}
+	do(l, func() { k.client("a").Served(value("a")) }) // too late
+	taken(t, k, "a", "b")
+	until(t, "nothing of it is counted", func() (none bool) { do(l, func() { none = f.buffered == 0 }); return none })
+}
+
+// With the process about to end, all that was sent ahead is answered, then the connection ends; nothing of it is lost.
+func TestDrainOfPipelinedRequests(t *testing.T) {
+	f, k, l, addr := start(t)
+	c := standin.Dial(t, addr)
+	c.Send(batch(ask("a", "free"), ask("w", "waits"), ask("b", "free")))
+	taken(t, k, "a")
+	do(l, func() { f.Drain(false); f.Finish() })
+	c.Send(ask("c", "free"))
+	k.serve("a")
+	taken(t, k, "a", "w", "b", "c")
+	k.serve("c", "b", "w")
+	told(t, c, "a", "w", "b", "c")
+	if a := c.Until('Z'); !a.Ended || a.Cut {
+		t.Fatalf("%+v", a)
+	}
+}
+
+// Where there is no room to keep answers that wait for others, a request waits until it is the first, and all is given back.
+func TestPipelinedRequestsWaitForRoom(t *testing.T) {
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	lim.Buffered = 2*lim.Stream + 4000 // for one beside the first
+	f, k, l, addr := startWith(t, lim)
+	c := standin.Dial(t, addr)
+	c.Send(batch(ask("a", "free"), ask("b", "free"), ask("c", "free"), ask("d", "free")))
+	conn := only(t, f, l)
+	until(t, "the third waits", func() (is bool) { do(l, func() { is = len(conn.line) == 3 }); return is })
+	taken(t, k, "a", "b")
+	k.serve("a")
+	taken(t, k, "a", "b", "c")
+	k.serve("b", "c")
+	taken(t, k, "a", "b", "c", "d")
+	k.serve("d")
+	told(t, c, "a", "b", "c", "d")
+	until(t, "nothing is counted", func() (none bool) {
+		do(l, func() { none = f.buffered == 0 && conn.backlog == 0 })
+		return none
+	})
+}
+
+// The answers that wait for others are bounded: beyond that nothing more of the connection is begun.
+func TestAnswersThatWaitForOthersAreBounded(t *testing.T) {
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	f, k, l, addr := startWith(t, lim)
+	c := standin.Dial(t, addr)
+	c.Send(ask("a", "free"))
+	taken(t, k, "a")
+	conn := only(t, f, l)
+	long := strings.Repeat("x", 60_000)
+	n := 0
+	for range 4 {
+		n++
+		id := fmt.Sprint("r", n)
+		c.Send(ask(id, "free"))
+		until(t, "it has come", func() (is bool) {
+			do(l, func() { is = len(k.asked) == n+1 || conn.reader.Waiting() > 0 })
+			return is
+		})
+		do(l, func() {
+			if q := k.client(id); q != nil {
+				q.Served(value(long))
+			} else if conn.backlog <= lim.High {
+				t.Errorf("%s is not begun with %d bytes waiting", id, conn.backlog)
+			} else {
+				n-- // nor are those behind it
+			}
+		})
+	}
+	if n != 3 {
+		t.Fatalf("%d begun", n)
+	}
+	k.serve("a")
+	told(t, c, "a", long, long, long)
+	taken(t, k, "a", "r1", "r2", "r3", "r4")
+}
+
+// halt is a source that only notes whether it is held.
+type halt struct{ held []bool }
+
+func (h *halt) Hold(on bool) { h.held = append(h.held, on) }
+
+// A long answer behind another one is held at its db machine until its turn, and passed on from there. One that breaks off before its
+// turn is an error in its place; one that does later ends the connection.
+func TestLongAnswerBehindAnother(t *testing.T) {
+	for _, when := range []string{"whole", "cut before its turn", "cut after it"} {
+		_, k, l, addr := start(t)
+		c := standin.Dial(t, addr)
+		c.Send(batch(ask("a", "free"), ask("long", "free"), ask("c", "free")))
+		taken(t, k, "a", "long", "c")
+		k.serve("c")
+		h := &halt{}
+		p := value("long").Messages
+		do(l, func() {
+			r := k.client("long")
+			r.Begun(&servers.Answer{Messages: p[:7]}, h)
+			r.Part(p[7:12])
+			if !slices.Equal(h.held, []bool{true}) {
+				t.Errorf("held: %v", h.held)
+			}
+			if when == "cut before its turn" {
+				r.Cut()
+			}
+		})
+		k.serve("a")
+		do(l, func() {
+			r := k.client("long")
+			if when == "cut before its turn" {
+				return
+			}
+			if !slices.Equal(h.held, []bool{true, false}) {
+				t.Errorf("held: %v", h.held)
+			}
+			if when == "cut after it" {
+				r.Cut()
+				return
+			}
+			end := bytes.IndexByte(p, 'C')
+			r.Part(p[12:end])
+			r.Served(&servers.Answer{Messages: p[end:]})
+		})
+		switch when {
+		case "whole":
+			told(t, c, "a", "long", "c")
+		case "cut before its turn":
+			told(t, c, "a", pgwire.UnknownOutcome, "c")
+		default:
+			told(t, c, "a")
+			if a := c.Until('Z'); !a.Ended || strings.Contains(a.Types, "Z") {
+				t.Errorf("%+v", a)
+			}
+		}
+	}
+}
+
+// Whatever is sent ahead, cut wherever, and in whatever order it is decided: each gets one answer, in order, and counts from when it
+// came.
+func FuzzPipeline(f *testing.F) {
+	f.Add(uint64(1), []byte("wwff"))
+	f.Add(uint64(2), []byte("fffwsfoBSfxf"))
+	f.Add(uint64(3), bytes.Repeat([]byte("fsfw"), 25))
+	f.Add(uint64(4), []byte("ooBBSSo"))
+	f.Fuzz(func(t *testing.T, seed uint64, kinds []byte) {
+		if len(kinds) > 120 {
+			return
+		}
+		r := rand.New(rand.NewPCG(seed, 1))
+		front, k, l, addr := start(t)
+		do(l, front.Ready)
+		before := l.Now() // many pieces share the moment of one before them
+		c := standin.Dial(t, addr)
+		var all []byte
+		var want []string
+		asked := 0
+		for i, kind := range kinds {
+			id := fmt.Sprintf("r%03d", i)
+			class := map[byte]string{'f': "free", 'w': "waits", 's': "sees"}[kind]
+			switch {
+			case class != "":
+				all = append(all, ask(id, class)...)
+				want = append(want, id)
+				asked++
+			case kind == 'o':
+				all = append(all, ask(id, "odd")...)
+				want = append(want, "42601")
+			case kind == 'S':
+				all = append(all, pgwire.AppendQuery(nil, "SET a = 1")...)
+				want = append(want, "42601")
+			default:
+				all = append(all, pgwire.AppendQuery(nil, " ")...)
+				want = append(want, "")
+			}
+		}
+		go func() {
+			for len(all) > 0 {
+				n := 1 + r.IntN(min(len(all), 1+r.IntN(200)))
+				if c.Write(all[:n]) != nil {
+					return
+				}
+				all = all[n:]
+			}
+		}()
+		answered := make(chan error, 1)
+		go func() {
+			order := rand.New(rand.NewPCG(seed, 2))
+			open, seen := []string(nil), 0
+			for done := 0; done < asked; {
+				ids := k.labels()
+				open = append(open, ids[seen:]...)
+				if seen = len(ids); seen > asked {
+					answered <- errors.New("one is taken twice")
+					return
+				}
+				if len(open) == 0 {
+					time.Sleep(50 * time.Microsecond)
+					continue
+				}
+				i := order.IntN(len(open))
+				k.serve(open[i])
+				open = slices.Delete(open, i, i+1)
+				done++
+			}
+			answered <- nil
+		}()
+		told(t, c, want...)
+		if err := <-answered; err != nil {
+			t.Fatal(err)
+		}
+		do(l, func() {
+			for _, q := range k.asked {
+				if q.At < before || q.At > l.Now() {
+					t.Errorf("%s came at %v", q.Label, q.At)
+				}
+			}
+		})
+	})
+}
--- a/internal/clients/simple.go
+++ b/internal/clients/simple.go
@@ -32,7 +32,7 @@
 		}
 		c.query(sql)
 	case 'X':
-		c.End()
+		c.Quit()
 	case 'S':
 		c.skip = false
 		c.Write(pgwire.AppendReady(nil))
@@ -57,30 +57,40 @@
 		return
 	}
 	h, err := job.Head()
-	if err == nil {
-		err = c.Take(router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
-			At: c.CameAt(), After: h.After, Retry: h.Retry, Job: job}, c)
-	}
 	if err != nil {
 		c.Fault()
 		c.Write(pgwire.AppendReady(pgwire.AppendError(nil, Unfit(err))))
+		return
 	}
+	r := &reply{}
+	c.Join(&r.Turn, router.Request{Label: h.ID, Class: h.Class, Group: h.Group, Session: h.Session, Deadline: h.Deadline,
+		At: c.CameAt(), After: h.After, Retry: h.Retry, Job: job}, r)
 }
 
-// answered sends the end of a request and goes on to what was sent behind it.
-func (c *simple) answered(p []byte) {
-	c.Write(pgwire.AppendReady(p))
-	c.Done(nil)
-}
+// reply words the answer to one request.
+type reply struct{ Turn }
 
 // Served implements router.Client.
-func (c *simple) Served(a router.Answer) { c.answered(a.(*servers.Answer).Messages) }
+func (r *reply) Served(a router.Answer) { r.Answer(pgwire.AppendReady(a.(*servers.Answer).Messages)) }
 
 // Begun implements router.Client.
-func (c *simple) Begun(a router.Answer, f router.Flow) { c.Stream(a.(*servers.Answer).Messages, f) }
+func (r *reply) Begun(a router.Answer, f router.Flow) { r.Stream(a.(*servers.Answer).Messages, f) }
 
 // Refused implements router.Client.
-func (c *simple) Refused(after time.Duration) { c.answered(pgwire.AppendError(nil, Refusal(after))) }
+func (r *reply) Refused(after time.Duration) { r.error(Refusal(after)) }
 
 // Failed implements router.Client.
-func (c *simple) Failed(why string) { c.answered(pgwire.AppendError(nil, Failure(why))) }
+func (r *reply) Failed(why string) { r.error(Failure(why)) }
+
+// Cut implements router.Client.
+func (r *reply) Cut() {
+	r.Turn.Cut(pgwire.AppendReady(pgwire.AppendError(nil, Failure("its answer broke off"))))
+}
+
+// Unfit implements Reply.
+func (r *reply) Unfit(err error) {
+	r.conn.Fault()
+	r.error(Unfit(err))
+}
+
+func (r *reply) error(e pgwire.Error) { r.Answer(pgwire.AppendReady(pgwire.AppendError(nil, e))) }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -30,7 +30,8 @@
 	Operators    int // connections of operators
 	CallBytes    int // bytes of an operator's call
 	Unread       int // bytes of answers that one client may leave unread
-	Requests     int // requests in hand
+	Requests     int // requests in hand,
+	Together     int // those of one connection
 	Connections  int // connections to db machines, those being opened included
 	PerMachine   int // the same for one db machine
 	IdleMachine  int // idle connections kept to one db machine
@@ -154,7 +155,7 @@
 		Stream: 64 << 10, Begin: 32 << 10, High: 128 << 10, Low: 32 << 10, Send: 64 << 10, Ahead: 64 << 10, Buffered: memoryMB << 20 / 8,
 		Operators: operators, CallBytes: 16 << 10,
 		Clients: free * 7 / 10, ClientsEasy: sockets / 8, ClientsTight: sockets / 5, Unread: most + 256<<10, Connections: free * 3 / 10, PerMachine: max(8, free/8), IdleMachine: max(4, free/48),
-		Requests: 4 * free, Listed: 10_000, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
+		Requests: 4 * free, Together: max(4, free/16), Listed: 10_000, Prepared: 1024, ListBytes: 1 << 20, ListHeader: 16 << 10, LogText: 512,
 		Held: 4 * free, HeldBytes: memoryMB << 20 / 16,
 		AuditRecords: memoryMB << 20 / 32 / 512, AuditBytes: memoryMB << 20 / 32, AuditHeads: 256, SyslogWindow: memoryMB << 20 / 64,
 		SpoolSegment: 256 << 10, SpoolBytes: 64 << 20, StoreQueue: 64, StoreEntries: 1024,
--- a/internal/router/book.go
+++ b/internal/router/book.go
@@ -34,6 +34,9 @@
 	}
 	if res.Status == balance.Done {
 		r.heard(q, res, took, now) // before its end is told: an answer that is not counted lets no more out
+		if c, ok := q.client.(Committer); ok && !q.over && res.Position > 0 && res.Code == "" && r.Writes(q.Class) {
+			c.Committed(res.Position)
+		}
 		r.serve(q, res.Answer, res.Code)
 	} else if q.began {
 		r.cut(q)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,6 +34,11 @@
 	Gone(look bool) bool
 }
 
+// Committer is a Client that is told, right before its answer, what position its write has.
+type Committer interface {
+	Committed(position time.Duration)
+}
+
 // Flow is the source of an answer that is passed on as it comes.
 type Flow interface {
 	// Hold stops it, or lets it go on.
@@ -176,3 +181,16 @@
 	c := r.classes[class]
 	return c.Effect != balance.Safe || c.Need == balance.NeedUpdate
 }
+
+// Order is what a request waits for of those that were sent before it on the same connection.
+type Order struct {
+	Writes  bool // it may change data: it waits for all of them, so that none sees what came later
+	Sees    bool // it has to see what its session has written before: it waits for those writes,
+	SeesAll bool // or what anybody has
+}
+
+// Order tells the order of a class's requests.
+func (r *Router) Order(class string) Order {
+	n := r.classes[class].Need
+	return Order{Writes: r.Writes(class), Sees: n == balance.NeedSession, SeesAll: n == balance.NeedLatest}
+}
