--- /dev/null
+++ b/balance/size_test.go
@@ -0,0 +1,74 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// One of 350 instances before 1,024 members in one list: each group is served at its own members, none is forgotten, and a change of the
+// list that takes out half of them all at once binds all of it.
+func TestAThousandMembersBeforeOneOfManyInstances(t *testing.T) {
+	const members, groups, instances = 1024, 64, 350
+	c := base()
+	c.Instances = instances
+	l := List{Kind: ListFull}
+	for i := range members {
+		l.Entries = append(l.Entries, Entry{Node: fmt.Sprint("n", i), Zone: "a", Group: int64(i % groups), State: Ready, Primary: i < groups})
+	}
+	h := newRig(t, c, l)
+	used, served, left := map[string]int{}, map[int64]int{}, map[string]bool{}
+	serve := func(rounds int) {
+		for range rounds {
+			for g := range int64(groups) {
+				h.n++
+				id := fmt.Sprint("q", h.n)
+				acts := h.step(5*time.Millisecond, Request{ID: id, Class: "any", Group: g, Expires: time.Second})
+				for len(acts) > 0 {
+					var back []Event
+					for _, a := range acts {
+						switch a := a.(type) {
+						case Send:
+							var at int
+							fmt.Sscanf(a.Node, "n%d", &at)
+							if int64(at%groups) != g || left[a.Node] {
+								t.Fatalf("group %d is sent to %s, left: %v", g, a.Node, left[a.Node])
+							}
+							used[a.Node]++
+							served[g]++
+							back = append(back, Outcome{ID: id, Node: a.Node, Status: Done, Finished: true, Took: 5 * time.Millisecond, Role: RoleReplica, Position: h.now})
+						case Probe:
+							back = append(back, ProbeResult{Node: a.Node, Status: Done, Role: RoleReplica, Position: h.now})
+						}
+					}
+					if len(back) == 0 {
+						break
+					}
+					acts = h.step(5*time.Millisecond, back...)
+				}
+			}
+		}
+	}
+	serve(60)
+	for g := range int64(groups) {
+		if served[g] < 55 {
+			t.Errorf("group %d: %d of 60 sent", g, served[g])
+		}
+	}
+	if len(used) < members*9/10 {
+		t.Errorf("%d members used of %d", len(used), members)
+	}
+	d := List{Kind: ListDelta}
+	for i := members / 2; i < members; i++ {
+		left[fmt.Sprint("n", i)] = true
+		d.Entries = append(d.Entries, Entry{Node: fmt.Sprint("n", i), Zone: "a", Group: int64(i % groups), State: Draining})
+	}
+	h.step(time.Millisecond, d)
+	served = map[int64]int{}
+	serve(20)
+	for g := range int64(groups) {
+		if served[g] < 15 {
+			t.Errorf("group %d: %d of 20 sent with half of its members leaving", g, served[g])
+		}
+	}
+}
