Room is kept for those that ask one thing at a time; slow readers get all answers

Cause: read in the code, then forced by tests. (1) What clients send ahead counted in the same pot as statements in hand (`Front.buffered`): twenty connections with 64 KB ahead each filled `Buffered`, and every other client's request was refused for want of room (`Conn.Hold`). Change: bytes ahead of clients that are owed an answer are a pot of their own (`Front.ahead`) and take half of the room at most, in reading too; answers beyond `High` wait in the line, counted, and `Taken` goes on with them. Both tests were seen to fail without their part.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -50,7 +50,8 @@
 	finishing time.Duration // since when also those are closed that have no request in hand, 0 = they are not
 	named     bool          // requests say whose they are
 	conns     map[*Conn]struct{}
-	buffered  int         // bytes of all clients that wait to be read or are kept for them
+	buffered  int         // bytes of all clients that are kept for them, or have come of what they may ask next
+	ahead     int         // bytes that have come of clients that are owed an answer
 	next      *loop.Timer // the next sweep
 	sweeps    int
 }
@@ -130,9 +131,13 @@
 // fine says whether the front needs its sweep at the fine grain: readings wait for room, it drains or is emptied, or the
 // table is past its easy mark. Bytes kept for requests in hand are no want of room.
 func (f *Front) fine() bool {
-	return f.buffered > f.lim.Buffered || f.empty || f.draining || len(f.conns) > min(f.lim.ClientsEasy, f.lim.ClientsTight)
+	return f.fill() > f.lim.Buffered || f.empty || f.draining || len(f.conns) > min(f.lim.ClientsEasy, f.lim.ClientsTight)
 }
 
+// fill is how much of Buffered is taken. Guards those that ask one thing at a time against those that send ahead: whatever these
+// send takes half of the room at the most.
+func (f *Front) fill() int { return f.buffered + min(f.ahead, f.lim.Buffered/2) }
+
 // soon brings the next sweep to the fine grain, where something has come that needs it.
 func (f *Front) soon() {
 	if f.next != nil && f.loop.Now()+f.lim.ClientSweep < f.next.At() {
@@ -228,7 +233,8 @@
 	backlog int     // bytes of them that wait for others
 	commits commits
 	closing bool          // it is ended once they are written
-	held    int           // its share of front.buffered
+	held    int           // its bytes that are not cut yet,
+	early   bool          // counted as front.ahead, and not as front.buffered
 	kept    int           // the same, of what its Speaker keeps between requests and of the request in hand
 	size    int           // bytes of the newest message
 	taken   int           // bytes of the request in hand
@@ -298,8 +304,9 @@
 func (c *Conn) gone() {
 	f := c.front
 	delete(f.conns, c)
-	f.buffered -= c.held + c.kept
-	c.held, c.kept = 0, 0
+	c.enter(0, false)
+	f.buffered -= c.kept
+	c.kept = 0
 	if c.flow != nil {
 		c.flow.Hold(false) // the rest of its answer is read all the same, and meets nobody
 		c.flow = nil
@@ -350,15 +357,14 @@
 	if c.ended {
 		return
 	}
-	f.buffered += c.reader.Waiting() - c.held
-	c.held = c.reader.Waiting()
 	busy := c.busy() || c.choked
+	c.enter(c.reader.Waiting(), busy)
 	if busy || c.held == 0 {
 		c.partAt = 0
 	} else if c.partAt == 0 {
 		c.partAt = f.loop.Now() // the time spent behind an earlier answer is no stall of the client's
 	}
-	full := c.held > 0 && f.buffered > f.lim.Buffered
+	full := c.held > 0 && (f.fill() > f.lim.Buffered || busy && f.ahead > f.lim.Buffered/2)
 	if full && c.partAt > 0 {
 		c.moreAt = f.loop.Now() // that nothing more comes is not its fault
 	}
@@ -368,12 +374,25 @@
 	}
 }
 
+// enter counts the bytes that are not cut yet.
+func (c *Conn) enter(held int, early bool) {
+	pot := func() *int {
+		if c.early {
+			return &c.front.ahead
+		}
+		return &c.front.buffered
+	}
+	*pot() -= c.held
+	c.held, c.early = held, early
+	*pot() += held
+}
+
 // Taken implements sock.Taker.
 func (c *Conn) Taken() {
 	if c.choked {
 		c.choked = false
-		c.read()
-		c.count()
+		c.settle()
+		c.next()
 	}
 	if c.flow != nil {
 		c.flow.Hold(false)
@@ -414,9 +433,7 @@
 // read works on what has come until a request has to wait.
 func (c *Conn) read() {
 	for !c.ended && !c.blocked() && !c.sock.Left(false) {
-		if c.sock.Unsent() > c.front.lim.High {
-			c.choked = true
-			c.sock.Await(c.front.lim.Low)
+		if c.stuffed() {
 			return
 		}
 		m, ok, err := c.reader.Next()
@@ -511,7 +528,7 @@
 
 // Hold says whether there is room to keep so many bytes for the client, and counts them if so.
 func (c *Conn) Hold(n int) bool {
-	if c.ended || c.front.buffered+n > c.front.lim.Buffered {
+	if c.ended || c.front.fill()+n > c.front.lim.Buffered {
 		return false
 	}
 	c.kept += n
--- a/internal/clients/line.go
+++ b/internal/clients/line.go
@@ -100,7 +100,7 @@
 	}
 	// Guards the places of other connections' requests, and the memory: with half of the room for statements and answers taken, requests
 	// sent ahead wait until they are the first.
-	if before >= lim.Together || c.front.buffered+lim.Stream > lim.Buffered/2 || !c.Hold(lim.Stream) {
+	if before >= lim.Together || c.front.fill()+lim.Stream > lim.Buffered/2 || !c.Hold(lim.Stream) {
 		return false
 	}
 	t.room = lim.Stream
@@ -146,9 +146,12 @@
 	if c.ended {
 		return
 	}
-	if !t.first() {
+	switch {
+	case !t.first():
 		t.keep(p)
-	} else {
+	case c.flow == nil && c.stuffed():
+		t.keep(p)
+	default: // what was passed on as it came is not held up at its end
 		c.flow = nil
 		c.line = c.line[1:]
 		c.send(p)
@@ -157,6 +160,15 @@
 	c.next()
 }
 
+// stuffed says that the client has so much to take that no more is written for now, nor read; Taken goes on.
+func (c *Conn) stuffed() bool {
+	if !c.choked && c.sock.Unsent() > c.front.lim.High {
+		c.choked = true
+		c.sock.Await(c.front.lim.Low)
+	}
+	return c.choked
+}
+
 // Stream begins an answer that is passed on as it comes. Behind others its source is held until its turn.
 func (t *Turn) Stream(p []byte, f router.Flow) {
 	t.flow = f
@@ -192,9 +204,10 @@
 	t.Answer(instead)
 }
 
-// settle writes the answers whose turn has come.
+// settle writes the answers whose turn has come. Guards those that many requests in hand have got at once against Unread: a client that
+// takes them slowly gets them all.
 func (c *Conn) settle() {
-	for len(c.line) > 0 && !c.ended {
+	for len(c.line) > 0 && !c.ended && !c.stuffed() {
 		t := c.line[0]
 		p := t.free()
 		if t.state == answered {
--- a/internal/clients/pipeline_test.go
+++ b/internal/clients/pipeline_test.go
@@ -79,7 +79,8 @@
 			}
 			return r
 		}, a.Value); got != w {
-			t.Fatalf("answer %d of %v is %+v", i, want, a)
+			a.Value = a.Value[:min(len(a.Value), 20)]
+			t.Fatalf("answer %d of %d, wanted %.20s, is %+v", i, len(want), w, a)
 		}
 	}
 }
@@ -322,7 +323,7 @@
 	}
 	do(l, func() { k.client("a").Served(value("a")) }) // too late
 	taken(t, k, "a", "b")
-	until(t, "nothing of it is counted", func() (none bool) { do(l, func() { none = f.buffered == 0 }); return none })
+	until(t, "nothing of it is counted", func() (none bool) { do(l, func() { none = f.buffered == 0 && f.ahead == 0 }); return none })
 }
 
 // With the process about to end, all that was sent ahead is answered, then the connection ends; nothing of it is lost.
@@ -359,11 +360,43 @@
 	k.serve("d")
 	told(t, c, "a", "b", "c", "d")
 	until(t, "nothing is counted", func() (none bool) {
-		do(l, func() { none = f.buffered == 0 && conn.backlog == 0 })
+		do(l, func() { none = f.buffered == 0 && f.ahead == 0 && conn.backlog == 0 })
 		return none
 	})
 }
 
+// However many clients send ahead however much, there is room for those that ask one thing at a time.
+func TestAFloodSentAheadLeavesRoomForOthers(t *testing.T) {
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	lim.Buffered = 400_000
+	f, k, l, addr := startWith(t, lim)
+	const floods = 20
+	ahead := bytes.Repeat(pgwire.AppendQuery(nil, sql("served")), lim.Ahead/len(pgwire.AppendQuery(nil, sql("served"))))
+	var all []*standin.Client
+	for range floods {
+		c := standin.Dial(t, addr)
+		c.Send(pgwire.AppendQuery(nil, sql("waits")))
+		all = append(all, c)
+	}
+	until(t, "all have a request in hand", func() bool { return k.len() == floods })
+	for _, c := range all {
+		c.Send(ahead)
+	}
+	until(t, "more has come than there is room for", func() (is bool) {
+		do(l, func() { is = f.ahead > lim.Buffered })
+		return is
+	})
+	c := standin.Dial(t, addr)
+	p := pgwire.AppendQuery(nil, sql("served")+strings.Repeat(" ", 60_000))
+	for range 3 {
+		c.Send(p[:30_000])
+		c.Send(p[30_000:])
+		if a := c.Until('Z'); a.Types != "TDCZ" {
+			t.Fatalf("%+v", a)
+		}
+	}
+}
+
 // The answers that wait for others are bounded: beyond that nothing more of the connection is begun.
 func TestAnswersThatWaitForOthersAreBounded(t *testing.T) {
 	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
@@ -400,6 +433,48 @@
 	taken(t, k, "a", "r1", "r2", "r3", "r4")
 }
 
+// A client that has many requests in hand and reads nothing until all are answered gets each answer whole, though together they are more than
+// it may leave unread.
+func TestASlowReaderOfManyAnswersGetsThemAll(t *testing.T) {
+	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
+	for _, inOrder := range []bool{true, false} {
+		f, k, l, addr := startWith(t, lim)
+		c := standin.Dial(t, addr)
+		long := strings.Repeat("x", 60_000)
+		n := lim.Together
+		if n*len(long) < lim.Unread+lim.Send {
+			t.Fatal("they are not more than it may leave unread")
+		}
+		var all []byte
+		var ids, want []string
+		for i := range n {
+			ids, want = append(ids, fmt.Sprintf("r%02d", i)), append(want, long)
+			all = append(all, ask(ids[i], "free")...)
+		}
+		c.Send(all)
+		taken(t, k, ids...)
+		if !inOrder {
+			slices.Reverse(ids)
+		}
+		for _, id := range ids {
+			do(l, func() { k.client(id).Served(value(long)) })
+		}
+		conn := only(t, f, l)
+		do(l, func() {
+			if u := conn.sock.Unsent(); u > lim.High+2*len(long) {
+				t.Errorf("%d bytes unsent", u)
+			}
+		})
+		told(t, c, want...)
+		c.Send(ask("more", "free"))
+		until(t, "it goes on", func() bool { return len(k.labels()) == n+1 })
+		until(t, "nothing is counted", func() (none bool) {
+			do(l, func() { none = conn.backlog == 0 && f.ahead == 0 })
+			return none
+		})
+	}
+}
+
 // halt is a source that only notes whether it is held.
 type halt struct{ held []bool }
 
