--- a/cmd/limeladder/pipeline_test.go
+++ b/cmd/limeladder/pipeline_test.go
@@ -63,3 +63,57 @@
 		}
 	}
 }
+
+// The watch moves, and then the process is told to end, while of one connection's pipelined requests the first is out, one is in hand beside it,
+// one waits and one has come in part. Each is answered in its place, none runs twice, and then the connection ends.
+func TestReloadAndShutdownWithPipelinedRequests(t *testing.T) {
+	asked, goOn := make(chan bool, 9), make(chan bool)
+	release := sync.OnceFunc(func() { close(goOn) })
+	defer release()
+	dbs, list, agent := bank(t, func(typ byte, id string) standin.Act {
+		if id == "head" {
+			asked <- true
+			<-goOn
+		}
+		return standin.Act{}
+	})
+	other, err := standin.NewAgent(list...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(other.Stop)
+	cfg := pushed(t, agent, list...)
+	d := serve(t, cfg)
+	ready(t, d)
+	c := standin.Dial(t, d.fronts[0].listener.Addr().String())
+	late := query(sql("late", "look"))
+	c.Send(slices.Concat(query(sql("head", "job")), query(sql("r1", "look")), query(sql("w", "job")), late[:20]))
+	<-asked
+	for dbs[1].Runs("r1")+dbs[2].Runs("r1") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	moved := *cfg
+	moved.Discovery = other.Addr
+	do(d, func() { d.reload(&moved) })
+	for end := time.Now().Add(20 * time.Second); other.Calls() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the watch does not move")
+		}
+	}
+	do(d, d.drain)
+	c.Send(late[20:])
+	release()
+	for _, want := range []string{"head", "r1", "w", "late"} {
+		if a := c.Until('Z'); a.Types != "TDCZ" {
+			t.Fatalf("%s: %+v", want, a)
+		}
+	}
+	if a := c.Until('Z'); !a.Ended || a.Cut {
+		t.Fatalf("%+v", a)
+	}
+	for _, id := range []string{"head", "r1", "w", "late"} {
+		if n := dbs[0].Runs(id) + dbs[1].Runs(id) + dbs[2].Runs(id); n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
