Requests that are answered at once are worked off in a loop, not on the stack

Ruled out: requests that the core takes, whose answers come from the loop's queue. Change: `read` notes that it runs, and goes on behind an answer given within it.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -232,6 +232,7 @@
 	line    []*Turn // the answers that are owed, in their order
 	backlog int     // bytes of them that wait for others
 	commits commits
+	reading bool          // messages are being read
 	closing bool          // it is ended once they are written
 	held    int           // its bytes that are not cut yet,
 	early   bool          // counted as front.ahead, and not as front.buffered
@@ -432,6 +433,11 @@
 
 // read works on what has come until a request has to wait.
 func (c *Conn) read() {
+	if c.reading {
+		return // an answer given at once: the loop below goes on behind it
+	}
+	c.reading = true
+	defer func() { c.reading = false }()
 	for !c.ended && !c.blocked() && !c.sock.Left(false) {
 		if c.stuffed() {
 			return
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -34,6 +34,7 @@
 	newest  atomic.Pointer[router.Request]
 	asked   []router.Request // owned by the loop
 	clients []router.Client  // theirs
+	odd     func()           // called at an unfit one
 }
 
 // Order has "waits" stand for writes, "free" for reads that wait for nothing and "own" for those that see their session's writes.
@@ -45,6 +46,9 @@
 
 func (k *core) Take(q router.Request, c router.Client) (string, error) {
 	if q.Class == "odd" {
+		if k.odd != nil {
+			k.odd()
+		}
 		return "", router.ErrClass
 	}
 	k.newest.Store(&q)
@@ -112,11 +116,11 @@
 
 func (k *core) Leave(id string) { k.left <- id }
 
-func start(t *testing.T) (f *Front, k *core, l *loop.Loop, addr string) {
+func start(t testing.TB) (f *Front, k *core, l *loop.Loop, addr string) {
 	return startWith(t, limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second))
 }
 
-func startWith(t *testing.T, lim limits.Limits) (f *Front, k *core, l *loop.Loop, addr string) {
+func startWith(t testing.TB, lim limits.Limits) (f *Front, k *core, l *loop.Loop, addr string) {
 	l = loop.New()
 	e, err := sock.New(l, 256, 1<<20)
 	if err != nil {
--- a/internal/clients/pipeline_test.go
+++ b/internal/clients/pipeline_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -269,6 +270,29 @@
 	told(t, c, "e")
 }
 
+// Requests that are answered at once, however many come in one write, are worked off one behind the other: what is on the stack does not grow
+// with them.
+func TestManyUnfitRequestsInOneWrite(t *testing.T) {
+	_, k, l, addr := start(t)
+	deepest := 0
+	do(l, func() {
+		k.odd = func() { deepest = max(deepest, runtime.Callers(0, make([]uintptr, 4096))) }
+	})
+	const n = 900
+	c := standin.Dial(t, addr)
+	var want []string
+	for range n {
+		want = append(want, "42601")
+	}
+	c.Send(bytes.Repeat(ask("x", "odd"), n))
+	told(t, c, want...)
+	do(l, func() {
+		if deepest == 0 || deepest > 60 {
+			t.Errorf("%d calls deep", deepest)
+		}
+	})
+}
+
 // What can't be read ends the connection in order: those before it are answered, then comes the error, and nothing behind it is taken.
 func TestGarbageBehindPipelinedRequests(t *testing.T) {
 	for name, bad := range map[string][]byte{"type": {'?', 0, 0, 0, 4}, "length": {'Q', 0x7f, 0, 0, 0}, "body": {'Q', 0, 0, 0, 5, 'x'}} {
