Tests: the end of a drain with requests in hand, and a long answer taken slowly

Cause: read once more, TestDrainOfPipelinedRequests passed with the end of a drain looking past the line of answers, since bytes of its client lay unread too. A connection with two requests in hand and nothing on its way is drained and finished, and gets both answers: seen to fail with either guard taken out. A 6 MB answer is taken slowly with three requests ahead: passes as the program stands, not seen to fail. No code of the program changed.

--- a/internal/clients/pipeline_test.go
+++ b/internal/clients/pipeline_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"runtime"
 	"slices"
 	"strings"
@@ -367,6 +368,20 @@
 	}
 }
 
+// The same of a connection that has requests in hand and nothing else on its way: neither the drain nor its end cuts it off.
+func TestEndOfADrainWithRequestsInHand(t *testing.T) {
+	f, k, l, addr := start(t)
+	c := standin.Dial(t, addr)
+	c.Send(batch(ask("a", "free"), ask("b", "free")))
+	taken(t, k, "a", "b")
+	do(l, func() { f.Drain(false); f.Finish() })
+	k.serve("b", "a")
+	told(t, c, "a", "b")
+	if a := c.Until('Z'); !a.Ended || a.Cut {
+		t.Fatalf("%+v", a)
+	}
+}
+
 // Where there is no room to keep answers that wait for others, a request waits until it is the first, and all is given back.
 func TestPipelinedRequestsWaitForRoom(t *testing.T) {
 	lim := limits.For(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
@@ -639,3 +654,46 @@
 		})
 	})
 }
+
+// A client that takes a long answer slowly, with others sent ahead, gets all of them whole and in order.
+func TestASlowReaderOfALongAnswerWithMoreAhead(t *testing.T) {
+	_, k, l, addr := start(t)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.(*net.TCPConn).SetReadBuffer(32 << 10)
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	c.Write(batch(pgwire.AppendStartup(nil, "user", "x"), ask("l", "long"), ask("a", "free")))
+	taken(t, k, "l", "a")
+	until(t, "its source is held", func() (held bool) { do(l, func() { held = k.source.held }); return held })
+	c.Write(batch(ask("b", "free"), ask("c", "free"))) // while the answer is not taken
+	k.serve("a")
+	go func() {
+		for len(k.labels()) < 4 {
+			time.Sleep(time.Millisecond)
+		}
+		k.serve("c", "b")
+	}()
+	var got []byte
+	ready := []byte("Z\x00\x00\x00\x05I")
+	for buf := make([]byte, 64<<10); bytes.Count(got, ready) < 5; { // the welcome has one
+		n, err := c.Read(buf)
+		got = append(got, buf[:n]...)
+		if err != nil {
+			t.Fatalf("%v after %d bytes", err, len(got))
+		}
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		p := append(value(id).Messages, ready...)
+		at := bytes.Index(got, p)
+		if at < longest {
+			t.Fatalf("the answer to %s stands at %d", id, at)
+		}
+		got = append(make([]byte, longest), got[at+len(p):]...)
+	}
+	if len(got) != longest {
+		t.Fatalf("%d bytes behind them", len(got)-longest)
+	}
+}
