Test of TCP_NODELAY judges connections that have sent data, not ones being made

Cause, seen: the test walks all descriptors of the process while probes go on being dialled and accepted. Go sets TCP_NODELAY behind the handshake and before the connection is handed out, so a connection looked at in that instant has it off. Ruled out: a place in the program that clears the option (there is none, and no connection was seen to carry data without it).

Change: a connection counts once TCP_INFO says that it has sent data, and its option is read after that; a number that was reused between the two looks is passed over.

--- a/cmd/limeladder/endings_test.go
+++ b/cmd/limeladder/endings_test.go
@@ -6,10 +6,11 @@
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"limeladder/internal/config"
 	"limeladder/internal/limits"
 	"limeladder/internal/pgwire"
@@ -176,25 +177,33 @@
 		}
 		ours[tcp.Port] = true
 	}
-	port := func(a syscall.Sockaddr) int {
+	port := func(a unix.Sockaddr, _ error) int {
 		switch a := a.(type) {
-		case *syscall.SockaddrInet4:
+		case *unix.SockaddrInet4:
 			return a.Port
-		case *syscall.SockaddrInet6:
+		case *unix.SockaddrInet6:
 			return a.Port
 		}
 		return 0
 	}
+	ends := func(fd int) (own, peer int) { return port(unix.Getsockname(fd)), port(unix.Getpeername(fd)) }
 	seen := 0
 	for fd := 3; fd < 1024; fd++ {
-		peer, err := syscall.Getpeername(fd)
-		if own, _ := syscall.Getsockname(fd); err != nil || !ours[port(peer)] && !ours[port(own)] {
+		own, peer := ends(fd)
+		if peer == 0 || !ours[own] && !ours[peer] {
 			continue // no connection, or none of this test's
 		}
-		if on, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY); err == nil {
-			if seen++; on == 0 {
-				t.Errorf("descriptor %d waits for more", fd)
-			}
+		// Go sets the option behind the handshake and before the connection is given to anyone, so one that has sent data has it.
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil || info.Data_segs_out == 0 {
+			continue // it has sent nothing yet
+		}
+		on, err := unix.GetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY)
+		if a, b := ends(fd); err != nil || a != own || b != peer {
+			continue // the number belongs to another by now
+		}
+		if seen++; on == 0 {
+			t.Errorf("descriptor %d waits for more", fd)
 		}
 	}
 	if seen < 4 { // both ends of the client's and of one to a db machine
