What waits for a place at the listener counts from when it came

Cause, from the lines: sock notes when bytes come from the first read on. Seen by a test on a real socket: 101 ms in the queue were counted as none.

Change: when a connection is adopted, bytes that lie there already get the moment that the system tells (TCP_INFO, the time since the last data).

The test ran ten times over and fails without the call.

--- a/internal/sock/arrivals.go
+++ b/internal/sock/arrivals.go
@@ -95,3 +95,24 @@
 		}
 	})
 }
+
+// early notes what came of a connection before it was accepted. While it waited for a place the system told nobody of its bytes; it does know
+// how long ago the last of them came. Where it tells nothing, they count from now.
+func (c *Conn) early() {
+	if !c.stamped {
+		return
+	}
+	c.use(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		if err != nil || n == 0 {
+			return
+		}
+		now := c.engine.loop.Now()
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			now -= time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+		c.mu.Lock()
+		c.arrived.came(c.got+int64(n), now)
+		c.mu.Unlock()
+	})
+}
--- a/internal/sock/arrivals_test.go
+++ b/internal/sock/arrivals_test.go
@@ -1,7 +1,10 @@
 package sock
 
 import (
+	"io"
+	"log/slog"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -77,3 +80,47 @@
 		}
 	})
 }
+
+// What came while its connection waited for a place counts from when it came, not from when there was room.
+func TestCameAtOfWhatWaitsForAPlace(t *testing.T) {
+	l, e := start(t)
+	opened := make(chan *Conn, 2)
+	s := &sink{want: 3, done: make(chan string, 9)}
+	ln, err := e.Listen("127.0.0.1:0", 1, slog.New(slog.NewTextHandler(io.Discard, nil)), func(c *Conn) Handler {
+		opened <- c
+		return s
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(ln.Close)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	dial()
+	first := <-opened // it has the only place
+	waits := dial()
+	sent := l.Now()
+	if _, err := waits.Write([]byte("abc")); err != nil {
+		t.Fatal(err)
+	}
+	const waited = 100 * time.Millisecond
+	until(t, "time has passed", func() bool { return l.Now() > sent+waited })
+	if len(opened) > 0 {
+		t.Fatal("it was accepted beyond the places")
+	}
+	do(l, first.Close)
+	second := <-opened
+	wait(t, s.done, "got")
+	do(l, func() {
+		// The system counts in its own ticks, of 10 ms at the most.
+		if at := second.CameAt(3); at < sent-10*time.Millisecond || at > sent+waited/2 {
+			t.Errorf("sent at %v, told %v later", sent, at-sent)
+		}
+	})
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -475,6 +475,7 @@
 	c := &Conn{engine: e, nb: nb, release: release, post: post}
 	c.stamped = release != nil
 	c.exact.Store(release != nil) // those that were accepted are finished: their end has to be seen before nbio closes them
+	c.early()
 	nb.SetSession(c)
 	e.made.Add(1)
 	if _, err := e.nb.AddConn(nb); err != nil {
