Reads no longer than bounded ones go to all replicas, not to those kept for long reads

Router.long took a class for long where its attempts take over a third of the tightest bound. There both reads take 119 ms on the full fleet and the bound is 300 ms, so all season-history, 47 percent of the requests, went to the last half of each group's replicas by id, beside those replicas' part of the bounded reads: 1.4 times the mean there, half of it elsewhere, a tenth of the machines at 570 ms. What is kept apart is kept so because it holds up the log; reads as long as the bounded ones do that no more than these do anywhere.

Change: a class is long only if it takes four times what each bounded class takes (longTimes, which `yields` goes by already).

--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -37,6 +37,7 @@
 	lost map[string]int // and were refused
 
 	times float64 // the work of each request, as a multiple of the usual; 0 = 1
+	alike bool    // reads that any data will do for are as long as bounded ones
 	kind  map[string]string
 }
 
@@ -184,7 +185,7 @@
 
 func (f *fleet) serve(i int, id string, leg int, class string, m *member) {
 	work := time.Duration(float64(short) * f.rng.ExpFloat64())
-	if class == "any" {
+	if class == "any" && !f.alike {
 		work = time.Duration(float64(long) * (0.5 + f.rng.Float64()))
 	}
 	work = time.Duration(float64(work) * cmp.Or(f.times, 1))
@@ -199,7 +200,9 @@
 		f.waited += end - work - f.now
 	}
 	if class == "any" {
-		m.holds = max(m.holds, end)
+		if !f.alike {
+			m.holds = max(m.holds, end)
+		}
 		f.long++
 		f.queued += end - work - f.now
 	}
@@ -306,6 +309,31 @@
 	}
 }
 
+// Reads that any data will do for and that take much of the bound, but no more than bounded reads do: nothing is won by keeping them
+// apart, and the replicas that got them all would be crowded while others idle. They go to all.
+func TestReadsAsLongAsBoundedOnesGoToAllReplicas(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		c := fleetConfig()
+		for i := range 2 {
+			c.Classes[i].Aim, c.Classes[i].GiveUp = time.Second, 3*time.Second
+		}
+		f := newFleetOf(t, seed, 4, c)
+		f.alike, f.times = true, 8 // 200 ms: more than a third of the bound
+		f.load(150, 4, 5*time.Second)
+		clear(f.longs)
+		f.load(150, 4, 30*time.Second)
+		all, last := 0, 0
+		for id, n := range f.longs {
+			if all += n; id[2] == 'f' {
+				last += n
+			}
+		}
+		if t.Logf("seed %d: %d of %d on one replica of five", seed, last, all); last > all*2/5 || all < 100 {
+			t.Errorf("seed %d: %d of %d on one replica", seed, last, all)
+		}
+	}
+}
+
 // A member that starts cold gets work from all instances together, and never what would make it fall over.
 func TestAFleetEasesInAColdMember(t *testing.T) {
 	for seed, id := range []string{"00a", "00a", "00a", "00f", "00f"} {
--- a/balance/state.go
+++ b/balance/state.go
@@ -329,9 +329,18 @@
 // long says that reads of a class hold up the log for longer than other reads can bear.
 //
 // Danger: where no class is bounded no read is hurt by a log that is held up. Taken for a bound of 0, all reads went to the last
-// replica of each group.
+// replica of each group. Those that take about as long as bounded reads hold up the log no longer than these do anywhere. Kept apart
+// all the same, they and the bounded reads there crowded some replicas while others idled.
 func (r *Router) long(c *class) bool {
-	return c.Need == NeedAny && r.bound > 0 && c.lat > longShare*r.bound.Seconds()
+	if c.Need != NeedAny || r.bound == 0 || c.lat <= longShare*r.bound.Seconds() {
+		return false
+	}
+	for _, k := range r.cfg.Classes {
+		if k.Need == NeedBounded && c.work < longTimes*r.classes[k.Name].work {
+			return false
+		}
+	}
+	return true
 }
 
 // last picks the replicas for a long read, of those that can take it: the last by id, all instances the same.
