Writes of sessions beyond those told apart are seen also when all others are known

Found by reading the change once more. Cause: commits.see returned at once where no session is told apart any more, though positions of sessions that had been put together by group were still kept. A connection that has carried writes of over 64 sessions, whose other sessions have all shown their positions, would serve such a read from before its write. The test has that case now and fails without the mend ("1ns").

--- a/balance/state.go
+++ b/balance/state.go
@@ -371,7 +371,7 @@
 	return all[max(0, len(all)-most):]
 }
 
-// longTimes is what a read costs beside a bounded one, at least, to be held back for those; of so many of its times a replica is
+// longTimes is what a read costs beside a bounded one, at least, to be long; of so many of its times a replica is
 // left to them for all but one; and one that is behind by more than so many such reads would not be of use to them soon.
 const longTimes = 4
 
@@ -389,11 +389,6 @@
 	if n == g.primary || !r.long(c) || r.startLimit() < 1 {
 		return false
 	}
-	for _, k := range r.cfg.Classes {
-		if k.Need == NeedBounded && c.work < longTimes*r.classes[k.Name].work {
-			return false
-		}
-	}
 	pace := r.instances() * longTimes * c.work
 	if g.longAt == 0 { // drawn, so that instances do not all send their first
 		g.longAt = r.now + seconds(pace*r.rng.Float64())
--- a/internal/clients/commits.go
+++ b/internal/clients/commits.go
@@ -54,7 +54,7 @@
 // see is the position that a read of a session has to see.
 func (m *commits) see(q *router.Request) time.Duration {
 	after := q.After
-	if len(m.own) == 0 {
+	if len(m.own)+len(m.groups) == 0 {
 		return after
 	}
 	r := commit{maphash.String(m.seed, q.Session), q.Group, 0}
--- a/internal/clients/pipeline_test.go
+++ b/internal/clients/pipeline_test.go
@@ -289,6 +289,12 @@
 	if len(m.own) > commitsMost || len(m.groups) != 4 {
 		t.Errorf("%d sessions and %d groups are kept", len(m.own), len(m.groups))
 	}
+	for i := range n { // all that are told apart show that they know of theirs; the others have not
+		m.see(&router.Request{Session: fmt.Sprint("s", i), Group: int64(i % 4), After: time.Duration(n) * time.Second})
+	}
+	if q := (router.Request{Session: "s0", Group: 0, After: 1}); len(m.own) != 0 || m.see(&q) < time.Second {
+		t.Errorf("with %d sessions told apart another one has to see %v", len(m.own), m.see(&q))
+	}
 }
 
 // One that is refused, unfit or failed, an empty query, and a SET, each in its place, spoil none behind them.
