Tests of the list do not wait for ever behind a stall of the machine

Cause of the run that hung for ten minutes, by reading: the tests gave each call 200 ms beyond its wait. A stall of the machine over that ends the call as silent, nothing is asked again before Track, which these tests don't call, and a bare receive from the lists waits until go test gives up. Shown in a trial: one answer 300 ms late in TestWatchGoesOn hangs it at that receive (list_test.go, `<-s.lists`). The program asks again in the same place: its sink is the decision module, or Follow.

Calls now wait 10 s, but where silence is what is tested; each receive is bounded and says at once which call failed; the moment from which a reset is late is set by the test, not raced for; the old server of TestMove is let go on whenever the test ends. No check is dropped.

--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -91,12 +92,28 @@
 	return s, w, l
 }
 
+// lim has calls that wait far longer than any machine stalls. Guards the tests: a call that ends as silent by such a stall is
+// followed by none before Track, and who waits for its list would wait for ever.
 func lim() limits.Limits {
 	l := limits.For(192, 1024, 250*time.Millisecond, time.Second, time.Second)
-	l.WatchWait, l.WatchSlack, l.CallSlack = 30*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond
+	l.Connect, l.WatchWait, l.WatchSlack, l.CallSlack = 10*time.Second, 30*time.Millisecond, 10*time.Second, 10*time.Second
 	return l
 }
 
+// heard is the next list. No call may fail before it.
+func heard(t *testing.T, s told) config.List {
+	t.Helper()
+	select {
+	case l := <-s.lists:
+		return l
+	case silent := <-s.fails:
+		t.Fatalf("a call failed, silent: %v", silent)
+	case <-time.After(20 * time.Second):
+		t.Fatal("nothing is told")
+	}
+	return config.List{}
+}
+
 func TestWatchGoesOn(t *testing.T) {
 	n := 0
 	s, _, _ := watch(t, lim(), func(w http.ResponseWriter, r *http.Request) {
@@ -110,7 +127,7 @@
 		fmt.Fprintf(w, `{"version":%d,"full":%v,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"ready","cell":3}]}`, n-1, n == 1)
 	})
 	for i := range int64(6) {
-		if l := <-s.lists; l.Version != i || l.Full != (i == 0) || len(l.Servers) != 1 || l.Servers[0].Cell != 3 {
+		if l := heard(t, s); l.Version != i || l.Full != (i == 0) || len(l.Servers) != 1 || l.Servers[0].Cell != 3 {
 			t.Fatalf("%+v", l)
 		}
 	}
@@ -119,8 +136,12 @@
 	}
 }
 
+// lateAfter is how long a call must have waited in TestFailuresAreTold for a reset to be no refusal.
+const lateAfter = 20 * time.Millisecond
+
 func TestFailuresAreTold(t *testing.T) {
 	var calls atomic.Int32
+	late := make(chan bool) // closed once a watch that ends from now on ends late
 	for name, h := range map[string]http.HandlerFunc{
 		"silent":  func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
 		"busy":    func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) },
@@ -148,7 +169,8 @@
 				fmt.Fprint(w, `{"version":7,"full":true,"servers":[{"id":"s","state":"ready"}]}`)
 				return
 			}
-			time.Sleep(60 * time.Millisecond)
+			<-late
+			time.Sleep(2 * lateAfter)
 			c, _, _ := w.(http.Hijacker).Hijack()
 			c.(*net.TCPConn).SetLinger(0)
 			c.Close()
@@ -156,12 +178,16 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			lim := lim()
-			if strings.HasSuffix(name, "late") {
-				lim.WatchWait, lim.CallSlack = 20*time.Second, 20*time.Millisecond
+			switch {
+			case name == "silent":
+				lim.WatchSlack, lim.CallSlack = 200*time.Millisecond, 200*time.Millisecond
+			case strings.HasSuffix(name, "late"):
+				lim.WatchWait = 20 * time.Second
 			}
 			s, w, l := watch(t, lim, h)
 			if strings.HasSuffix(name, "late") {
-				<-s.lists
+				heard(t, s)
+				l.Post(func() { w.lim.CallSlack = lateAfter; close(late) })
 			}
 			for range 2 { // after a failure nothing is asked before Track
 				select {
@@ -195,13 +221,8 @@
 				io.WriteString(c, p[:min(piece, len(p))])
 			}
 		})
-		select {
-		case l := <-s.lists:
-			if l.Version != 7 || len(l.Servers) != 1 {
-				t.Fatalf("%+v", l)
-			}
-		case <-s.fails:
-			t.Fatal("it failed")
+		if l := heard(t, s); l.Version != 7 || len(l.Servers) != 1 {
+			t.Fatalf("%+v", l)
 		}
 	}
 }
@@ -246,7 +267,7 @@
 			})
 			var text strings.Builder
 			l.Post(func() { w.log = slog.New(slog.NewTextHandler(&text, nil)) })
-			if got := <-s.lists; got.Version != 7 {
+			if got := heard(t, s); got.Version != 7 {
 				t.Fatalf("%+v", got)
 			}
 			for i := range c.fails {
@@ -258,10 +279,12 @@
 					l.Post(w.Track)
 				case got := <-s.lists:
 					t.Fatalf("%+v", got)
+				case <-time.After(20 * time.Second):
+					t.Fatal("nothing is told")
 				}
 			}
 			if c.within > 0 {
-				if got := <-s.lists; got.Version != c.within {
+				if got := heard(t, s); got.Version != c.within {
 					t.Fatalf("%+v", got)
 				}
 			}
@@ -287,8 +310,14 @@
 		}
 		fmt.Fprint(w, `{"version":7,"full":true,"servers":[{"id":"old","state":"ready"}]}`)
 	})
-	<-s.lists
-	<-asked
+	answer := sync.OnceFunc(func() { close(goOn) })
+	t.Cleanup(answer) // a server does not end while a call to it is out
+	heard(t, s)
+	select {
+	case <-asked:
+	case <-time.After(20 * time.Second):
+		t.Fatal("no watch")
+	}
 	lists := 0
 	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if lists++; (lists == 1) != (r.URL.RawQuery == "") {
@@ -299,12 +328,12 @@
 	defer other.Close()
 	l.Post(func() { w.Move(other.Listener.Addr().String()) })
 	for i := range 3 {
-		got := <-s.lists
+		got := heard(t, s)
 		if got.Servers[0].ID != "new" || got.Full != (i == 0) {
 			t.Fatalf("%+v", got)
 		}
 		if i == 0 {
-			close(goOn) // the old one answers, too late
+			answer() // the old one answers, too late
 		}
 	}
 	l.Post(w.Stop)
