An answer of discovery on its way in is heard; a refused call's wait runs from the call

Followed: three machines drain at 18.46 s, while all 300 routers ask the new discovery behind SIGHUP (13.1 to 17.1 s). Routers n253, n261, n267, n285, n291 gave a call up ("no answer in time") at 21.39 to 21.72 s, asked again, heard the list at 22.92 to 23.30 s and sent meanwhile. What discovery writes counts as told.

Ruled out: lists that were not believed (none logged), a router that was short of time (watches are answered to the millisecond), slow pieces (2 ms apart), the rule's 6 s (24.46 s here), AskWithin (10 s).

Lines at fault: list.go, the call's timer called silent() whatever had come; limits.go, CallSlack 2 s, the very time after which discovery drops a call that waits for its turn, so answers and 503s of a full queue crossed the hang-up; state.go unheard(), whose 3.5 s ran from the refusal, so that a call refused after its 2 s and the next one's 2 s came to 7.5 s of the 6 s allowed.

Now: an answer that comes in, or has come and is not looked at, goes on while more comes, as long again at the most; CallSlack is 2 s and the settings' connect time, for discovery's word to come; the wait runs from the call, a quarter of it at least from the refusal.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -137,7 +137,7 @@
 		r.tracked, r.trackAt = false, r.now+r.unheard(l.Kind)
 		return
 	}
-	if r.trackGap = max(trialFirst, r.turns()); l.Kind == ListCached {
+	if r.trackGap, r.askedAt = max(trialFirst, r.turns()), r.now; l.Kind == ListCached {
 		r.trackAt = r.now + time.Duration(r.rng.Int64N(int64(r.turns())+1))
 	}
 	seen := map[string]bool{}
@@ -215,7 +215,7 @@
 
 func (r *Router) askList() {
 	if r.cfg.Ask && !r.tracked && r.now >= r.trackAt {
-		r.tracked = true
+		r.tracked, r.askedAt = true, r.now
 		r.do(Track{})
 	} else if r.cfg.Ask && !r.tracked {
 		r.due = min(r.due, r.trackAt)
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -368,6 +368,40 @@
 	}
 }
 
+// What was turned away only after it had waited for its turn has spent that time: the next call, and the 2 s that it may wait, still
+// come within the 6 s at which a change counts as told that came right behind the call before. One that is turned away at once is
+// not made again sooner than before.
+func TestTheWaitForTheListRunsFromTheCall(t *testing.T) {
+	const patience, way = 2 * time.Second, 250 * ms
+	for seed := range uint64(100) {
+		for _, took := range []time.Duration{5 * ms, 700 * ms, patience} {
+			c := base()
+			c.Instances, c.Ask, c.AskWithin, c.DrainGrace = 300, true, 10*time.Second, 1200*ms
+			r, err := New(c, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := 100 * time.Second
+			r.Step(now, []Event{three(ListFull)}) // the next watch goes out at once
+			for round := range 6 {
+				called := now
+				now += took
+				failed := now
+				asked := len(pick[Track](r.Step(now, []Event{List{Kind: ListFailed}}))) > 0
+				for ; !asked; now += 5 * ms {
+					asked = len(pick[Track](r.Step(now, nil))) > 0
+				}
+				if again := now - called; again+patience+way > 6*time.Second {
+					t.Errorf("seed %d, turned away after %v, round %d: called again %v after the call", seed, took, round, again)
+				}
+				if wait := now - failed; took < patience && now-called < 1900*ms || wait < 400*ms {
+					t.Errorf("seed %d, turned away after %v, round %d: called again %v later", seed, took, round, wait)
+				}
+			}
+		}
+	}
+}
+
 // The links between routers and discovery are cut while watches are out. What it had to tell counts as told 2 s after a
 // watch's wait is over, and sends must end within the grace from then on. Each of 300 instances asks again before that is
 // used up, whenever the link is back, and never all at once.
--- a/balance/state.go
+++ b/balance/state.go
@@ -183,11 +183,12 @@
 	if wait > unheardMost {
 		wait = unheardMost - time.Duration(r.rng.Int64N(int64(unheardMost)*3/7))
 	}
+	wait -= min(r.now-r.askedAt, wait*3/4) // it runs from the call: what that waited for its turn is part of it
 	r.trackGap = min(2*r.trackGap, max(trialLast, 2*r.turns()))
 	return wait
 }
 
-// unheardMost is the longest wait behind a call that brought no list. Danger: what changed counts as told 6 s after discovery had it
+// unheardMost is the longest wait from a call that brought no list to the next one. Danger: what changed counts as told 6 s after discovery had it
 // and could be reached, however the call ended; a call that waits for its turn takes 2 s of that, and its way the rest.
 const unheardMost = 3500 * time.Millisecond
 
@@ -256,6 +257,7 @@
 	session  bool
 	tracked  bool
 	trackAt  Time
+	askedAt  Time // when the call that is out was made
 	trackGap time.Duration
 	wakeAt   Time               // the next timer
 	due      Time               // when something is due next
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -75,7 +75,7 @@
 	CallWhole    time.Duration // until an operator's call has come whole
 	EmptyIdle    time.Duration // while the router is drained, a client's connection idle for this long is closed
 	WatchWait    time.Duration // what a watch asks discovery to wait
-	CallSlack    time.Duration // a call of discovery that does not wait fails after this, as discovery drops what waits longer for its turn,
+	CallSlack    time.Duration // a call of discovery that does not wait fails after this: discovery drops what waits 2 s for its turn, and its word takes the way,
 	WatchSlack   time.Duration // and a watch this long after its wait: what it had to tell counts as told by twice that
 	WatchGap     time.Duration // the next call after one that did not wait and brought nothing: a watch goes on if it comes within 200 ms
 	ListAgain    time.Duration // the longest wait after a call that brought no list, where the watch goes on by itself; 0 = it does not
@@ -169,7 +169,7 @@
 		ClientSilent: 100 * time.Millisecond, ClientTight: 100 * time.Millisecond, ClientMute: 500 * time.Millisecond,
 		ClientIdle: 2 * time.Second, ClientSweep: 50 * time.Millisecond,
 		CallWhole: 2 * time.Second, EmptyIdle: time.Second,
-		WatchWait: 5 * time.Second, CallSlack: 2 * time.Second, WatchSlack: time.Second, WatchGap: 50 * time.Millisecond, ListFirst: time.Second,
+		WatchWait: 5 * time.Second, CallSlack: 2*time.Second + connect, WatchSlack: time.Second, WatchGap: 50 * time.Millisecond, ListFirst: time.Second,
 		DrainAccept: 500 * time.Millisecond, DrainKept: min(longest, 3*time.Second) + 600*time.Millisecond, DrainMost: longest + 600*time.Millisecond, Sweep: time.Second, Report: 10 * time.Second,
 		AuditGather: 10 * time.Millisecond, AuditTick: 250 * time.Millisecond, AuditEvery: 10 * time.Second, SyslogUp: 3 * time.Second,
 		SyslogStall: 5 * time.Second, SyslogFirst: 100 * time.Millisecond, SyslogLast: 10 * time.Second, SyslogPrefer: time.Minute,
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -46,7 +46,9 @@
 	reply   *response     // of the call that is out, nil = none
 	limit   *loop.Timer   // its deadline
 	at      time.Duration // when it was made,
-	wait    time.Duration // and how long discovery may wait with its answer
+	wait    time.Duration // how long discovery may wait with its answer,
+	slack   time.Duration // and how long beyond that the answer may take to begin
+	cameAt  time.Duration // when the newest piece of the answer came, 0 = none has
 	text    []byte        // the call
 	reused  bool          // it went out on a connection that had carried another
 	dials   int           // the newest dial; an older one that comes up late is closed
@@ -124,8 +126,8 @@
 	if wait > 0 {
 		slack = w.lim.WatchSlack
 	}
-	w.at, w.wait = w.loop.Now(), wait
-	w.limit = w.loop.After(wait+slack, func() { w.silent(errors.New("no answer in time")) })
+	w.at, w.wait, w.slack, w.cameAt = w.loop.Now(), wait, slack, 0
+	w.limit = w.loop.After(wait+slack, w.late)
 	w.text = fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, w.addr)
 	if w.conn != nil {
 		w.reused = true
@@ -137,6 +139,17 @@
 	w.dial(w.text)
 }
 
+// late ends a call whose answer should have come. Danger: what discovery writes counts as told, so an answer that is on its way in, or
+// has come and is not looked at yet, is not given up. It goes on while more comes, as long again at the most.
+func (w *Watcher) late() {
+	gap, now, end := min(w.lim.Stall, w.slack/4), w.loop.Now(), w.at+w.wait+2*w.slack
+	if now < end && (w.cameAt > 0 && now-w.cameAt < gap || w.conn != nil && !w.conn.Quiet()) {
+		w.limit = w.loop.After(min(gap, end-now), w.late)
+		return
+	}
+	w.silent(errors.New("no answer in time"))
+}
+
 func (w *Watcher) dial(text []byte) {
 	w.reused = false
 	w.dials++
@@ -177,6 +190,7 @@
 		w.drop() // nothing was asked
 		return
 	}
+	w.cameAt = w.loop.Now()
 	whole, err := w.reply.feed(p)
 	if err != nil {
 		w.failed(err)
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -143,7 +143,19 @@
 	var calls atomic.Int32
 	late := make(chan bool) // closed once a watch that ends from now on ends late
 	for name, h := range map[string]http.HandlerFunc{
-		"silent":  func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"silent": func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"silent, half of a list": func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, "{\"version\":7,\"servers\":[")
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		},
+		"silent, a list that trickles": func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				io.WriteString(w, " ")
+				w.(http.Flusher).Flush()
+				time.Sleep(5 * time.Millisecond)
+			}
+		},
 		"busy":    func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) },
 		"garbage": func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "{") },
 		"state":   func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, `{"servers":[{"id":"s","state":"odd"}]}`) },
@@ -179,7 +191,7 @@
 		t.Run(name, func(t *testing.T) {
 			lim := lim()
 			switch {
-			case name == "silent":
+			case name == "silent", strings.HasSuffix(name, "half of a list"), strings.HasSuffix(name, "trickles"):
 				lim.WatchSlack, lim.CallSlack = 200*time.Millisecond, 200*time.Millisecond
 			case strings.HasSuffix(name, "late"):
 				lim.WatchWait = 20 * time.Second
@@ -206,6 +218,86 @@
 	}
 }
 
+// An answer that is on its way in when its call's time is over is heard, and no call fails: what discovery writes counts as told.
+// The rest is held back until that time is over on the watcher's own clock.
+func TestAnAnswerThatIsComingIsNotGivenUp(t *testing.T) {
+	lim := lim()
+	lim.Stall, lim.CallSlack = 20*time.Second, 2*time.Second // so that only the length of the answer ends it, and its gaps may be 0.5 s
+	var began, rest = make(chan bool), make(chan bool)
+	letGo := sync.OnceFunc(func() { close(rest) })
+	text := `{"version":7,"full":true,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"ready"}]}`
+	s, w, l := watch(t, lim, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		send := func(p string) {
+			io.WriteString(w, p)
+			w.(http.Flusher).Flush()
+		}
+		send(" ")
+		close(began)
+		for waits := true; waits; { // it goes on to come
+			select {
+			case <-rest:
+				waits = false
+			case <-time.After(10 * time.Millisecond):
+				send(" ")
+			}
+		}
+		send(text)
+	})
+	t.Cleanup(letGo)
+	<-began
+	var due time.Duration
+	in(l, func() { due = w.at + lim.CallSlack })
+	for over := false; !over; time.Sleep(time.Millisecond) {
+		in(l, func() { over = l.Now() > due+10*time.Millisecond })
+	}
+	letGo()
+	if got := heard(t, s); got.Version != 7 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// An answer that has come while the loop was busy beyond the call's time is looked at before the call is given up.
+func TestAnAnswerThatHasComeIsLookedAtFirst(t *testing.T) {
+	lim := lim()
+	lim.CallSlack = 300 * time.Millisecond
+	asked, busy := make(chan bool), make(chan bool)
+	s, w, l := watch(t, lim, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		close(asked)
+		<-busy
+		io.WriteString(w, `{"version":7,"full":true,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"ready"}]}`)
+	})
+	<-asked
+	in(l, func() {
+		if w.conn == nil {
+			t.Error("no connection")
+			close(busy)
+			return
+		}
+		close(busy)
+		for w.conn.Quiet() || l.Now() <= w.at+lim.CallSlack {
+			time.Sleep(time.Millisecond) // the loop is busy until the answer is there, and the call's time over
+		}
+	})
+	if got := heard(t, s); got.Version != 7 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// in runs f in the loop.
+func in(l *loop.Loop, f func()) {
+	done := make(chan bool)
+	l.Post(func() { f(); close(done) })
+	<-done
+}
+
 // A list without a length ends with its connection; it may come indented, in any pieces.
 func TestAListWithoutALengthInPieces(t *testing.T) {
 	text := "{\n  \"version\": 7,\n  \"full\": true,\n  \"servers\": [\n    {\n      \"id\": \"s\",\n      \"state\": \"ready\"\n    }\n  ]\n}\n"
