A router outlives its log: lines are queued and written by a goroutine of their own

What callers saw: with a standard error whose reader ended, the router was killed by SIGPIPE with all that it had in hand. With one that nobody reads, nothing was answered once the pipe was full: no request, no operator's call, no drain, no end on SIGTERM. A failed start hung too.

Cause: slog wrote to the standard error on the event loop's goroutine. A write to a full pipe blocks, and Go ends a program that writes to descriptor 2 after its reader has gone.

--- a/cmd/limeladder/main.go
+++ b/cmd/limeladder/main.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"log/slog"
 	"math"
 	"os"
@@ -41,22 +40,25 @@
 			os.Exit(exitCode)
 		}
 	}
+	output := startLog()
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
-		exitWith(exitConfigurationFault, err)
+		exitWith(output, exitConfigurationFault, err)
 	}
 	deploy, err := config.LoadDeploy(deployPath(os.Getenv))
 	if err != nil {
-		exitWith(exitConfigurationFault, err)
+		exitWith(output, exitConfigurationFault, err)
 	}
 	// More processors than the platform grants cores would only take turns on them.
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
-	d, err := newDaemon(cfg, deploy, newLogger(cfg.Name))
+	log := slog.New(output.Handler()).With("router", cfg.Name)
+	d, err := newDaemon(cfg, deploy, log)
 	if err != nil {
-		exitWith(exitStartFailed, err)
+		exitWith(output, exitStartFailed, err)
 	}
 	go handleSignals(d, signals, os.Getenv)
 	d.run()
+	output.Close(logFlushTimeout)
 }
 
 // handleSignals acts on signals until the program ends. SIGHUP reloads the configuration, every other signal starts the
@@ -75,19 +77,3 @@
 func deployPath(getenv func(string) string) string {
 	return cmp.Or(getenv("LIMELADDER_DEPLOY"), defaultDeployPath)
 }
-
-// newLogger returns the logger of the router with the given name. It writes to the standard error.
-func newLogger(routerName string) *slog.Logger {
-	level := slog.LevelInfo
-	if os.Getenv("LIMELADDER_LOG") == "debug" {
-		level = slog.LevelDebug
-	}
-	handler := slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})
-	return slog.New(handler).With("router", routerName)
-}
-
-// exitWith ends the program with one line that says why.
-func exitWith(code int, err error) {
-	fmt.Fprintln(os.Stderr, "limeladder:", err)
-	os.Exit(code)
-}
--- a/cmd/limeladder/main_test.go
+++ b/cmd/limeladder/main_test.go
@@ -77,10 +77,16 @@
 // programEnvironment is the variable by which this test binary is told to be the program itself.
 const programEnvironment = "LIMELADDER_TEST_MAIN"
 
-// TestMain runs the tests or, in a process that programCommand has started, the program without arguments.
+// commandEnvironment is the variable by which the program that programCommand starts keeps its arguments.
+const commandEnvironment = "LIMELADDER_TEST_COMMAND"
+
+// TestMain runs the tests or, in a process that programCommand has started, the program: without arguments, unless
+// commandEnvironment keeps them.
 func TestMain(m *testing.M) {
 	if os.Getenv(programEnvironment) == "1" {
-		os.Args = os.Args[:1]
+		if os.Getenv(commandEnvironment) != "1" {
+			os.Args = os.Args[:1]
+		}
 		main()
 		os.Exit(0)
 	}
