A listener's close no longer waits for the pause after a failed accept

What callers saw: a SIGTERM while no descriptor is free stops the event loop, and so every answer and operator's call, for up to 0.5 s. No caller is known to have been hit.

Cause: Listener.Close, called on the event loop, waits for the accepting goroutine, which slept for its backoff after an accept that had failed.

Change: the pause also ends when the listener is closed.

--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -14,6 +14,7 @@
 // Listener accepts connections until it is closed. Its methods may be called from any goroutine.
 type Listener struct {
 	listener net.Listener
+	closing  chan struct{} // closed by Close
 	done     chan struct{} // closed when the accepting goroutine has ended
 
 	mutex     sync.Mutex
@@ -47,7 +48,7 @@
 func (e *Engine) Serve(
 	listener net.Listener, maxOpen int, post func(func()), log *slog.Logger, accept func(c *Conn) Handler,
 ) *Listener {
-	l := &Listener{listener: listener, maxOpen: maxOpen, done: make(chan struct{})}
+	l := &Listener{listener: listener, maxOpen: maxOpen, closing: make(chan struct{}), done: make(chan struct{})}
 	l.slotFreed = sync.NewCond(&l.mutex)
 	go l.acceptLoop(e, post, log, accept)
 	return l
@@ -68,7 +69,7 @@
 			if backoff == minAcceptBackoff {
 				log.Warn("accept failed", "error", err)
 			}
-			time.Sleep(backoff)
+			l.pause(backoff)
 			backoff = min(2*backoff, maxAcceptBackoff)
 			continue
 		}
@@ -81,6 +82,16 @@
 	}
 }
 
+// pause waits for a time, or until the listener is closed: Close, which the event loop calls, waits for this goroutine.
+func (l *Listener) pause(backoff time.Duration) {
+	timer := time.NewTimer(backoff)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.closing:
+	}
+}
+
 // isTemporary reports whether a later accept may succeed: all errors but that of a closed listener are.
 func isTemporary(err error) bool {
 	var netErr net.Error
@@ -94,7 +105,12 @@
 // Close stops accepting. What waits in the system's queue is left to whoever else holds the socket.
 func (l *Listener) Close() {
 	l.listener.Close() // never a shutdown, which would end it for the other process too
-	l.update(func() { l.closed = true })
+	l.update(func() {
+		if !l.closed {
+			close(l.closing)
+		}
+		l.closed = true
+	})
 	<-l.done
 }
 
