A reload's change of collectors no longer waits for the spool's disk

What callers saw: with audit recording and a spool, a SIGHUP stops the event loop while the spool is written or synced, without bound on a disk that hangs. No caller is known to have been hit.

Cause: syslog.Sender.Change, called on the event loop, took the mutex that Put, Close and the sender's goroutine hold during file operations of the spool.

Change: the new collectors are left in an atomic pointer that the sender's goroutine takes.

Evidence, before: "TestChangeDoesNotWaitForTheSpool: Change waits" after 5 s with the mutex held as during a write.

--- a/internal/syslog/carry.go
+++ b/internal/syslog/carry.go
@@ -100,13 +100,14 @@
 	return len(s.waiting) == 0 && len(s.flight) == 0 && (s.own == nil || s.own.Empty())
 }
 
+// changed takes over the collectors that Change has set, and says whether there were any.
 func (s *Sender) changed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.change == nil {
+	next := s.pendingChange.Swap(nil)
+	if next == nil {
 		return false
 	}
-	s.opt.Collectors, s.opt.TLS, s.change = s.change.collectors, s.change.tls, nil
+	s.opt.Collectors = next.collectors
+	s.opt.TLS = next.tls
 	s.turn = *NewFailover(len(s.opt.Collectors), s.opt.Seed, s.opt.First, s.opt.Last)
 	return true
 }
--- a/internal/syslog/sender.go
+++ b/internal/syslog/sender.go
@@ -70,13 +70,14 @@
 	start  time.Time
 	ended  sync.Once
 
-	mu      sync.Mutex // never taken by the loop's goroutine
+	pendingChange atomic.Pointer[change] // set by the event loop, which must not wait for mu
+
+	mu      sync.Mutex // held while the spool is written and synced
 	waiting [][]byte   // oldest first; older than all that is in the spool
 	bytes   int        // of waiting and of flight
 	own     *spool.Spool
 	broken  time.Time // the disk has refused: it is not tried again before this
 	left    []*spool.Spool
-	change  *change
 	link    *link // for Close, which cuts its writes short
 	until   time.Time
 
@@ -191,11 +192,10 @@
 	}
 }
 
-// Change sets other collectors; what is on its way to an old one is finished first.
-func (s *Sender) Change(c []Collector, t *tls.Config) {
-	s.mu.Lock()
-	s.change = &change{c, t}
-	s.mu.Unlock()
+// Change sets other collectors; what is on its way to an old one is finished first. It never waits, not for the disk of
+// the spool either.
+func (s *Sender) Change(collectors []Collector, tlsConfig *tls.Config) {
+	s.pendingChange.Store(&change{collectors: collectors, tls: tlsConfig})
 	s.nudge()
 }
 
--- a/internal/syslog/sender_test.go
+++ b/internal/syslog/sender_test.go
@@ -524,3 +524,21 @@
 		})
 	}
 }
+
+// Guards against an event loop that waits, on a change of the collectors, for a spool whose disk hangs.
+func TestChangeDoesNotWaitForTheSpool(t *testing.T) {
+	w := newWorld(t)
+	w.start(w.collector(collector.Options{Network: "tcp"}))
+	w.s.mu.Lock() // as while the spool is written
+	defer w.s.mu.Unlock()
+	changed := make(chan struct{})
+	go func() {
+		w.s.Change(w.opt.Collectors, w.opt.TLS)
+		close(changed)
+	}()
+	select {
+	case <-changed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("Change waits")
+	}
+}
