Store log: damage is no longer cut off as a torn end

What callers saw: with one bit flipped in a record's length a member opened with the records before it and cut the rest off the file, with one warning. Acknowledged entries, terms and votes were gone; a vote could be cast twice.

Cause: a length that reaches beyond the file, or a last record with a wrong checksum, was always taken for the work of a crash.

Change: an end is torn only where a crash explains it. A valid record behind it, a body that is complete under another length, or a last record that is all there and has no zero byte is damage: an error with file and offset, the file untouched. The log's form is unchanged; its golden files pass. wal.go is split by job (load, append, file); the system's calls stand behind an interface for tests that inject faults.

Evidence, before: --- FAIL: TestOneWrongBitIsDamage: opened with 0 entries, 600 bytes called torn --- FAIL: TestWrongLengthBeforeATornRecordIsDamage: opened with 1 entries, 120 bytes called torn Now every bit of a log of five records, and of a log whose next record is cut at any byte, is told. The package passes.

--- /dev/null
+++ b/internal/store/wal_append.go
@@ -0,0 +1,118 @@
+package store
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/hashicorp/raft"
+)
+
+// defaultCompactionThreshold is the size in bytes from which a deletion of entries rewrites a member's log.
+const defaultCompactionThreshold = 1 << 20
+
+// add writes a record through to the disk before it counts.
+func (w *wal) add(record walRecord) error {
+	encoded, err := record.encode()
+	if err != nil {
+		return err
+	}
+	return w.addEncoded(encoded, record)
+}
+
+// addEncoded writes records that are already encoded.
+func (w *wal) addEncoded(encoded []byte, records ...walRecord) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.appendSynced(encoded); err != nil {
+		return err
+	}
+	w.size += int64(len(encoded))
+	deletesEntries := false
+	for _, record := range records {
+		w.apply(record)
+		deletesEntries = deletesEntries || record.deletesEntries()
+	}
+	if deletesEntries && w.size > w.compactionThreshold {
+		return w.compact()
+	}
+	return nil
+}
+
+// appendSynced appends to the file and waits for the disk.
+func (w *wal) appendSynced(encoded []byte) error {
+	if _, err := w.file.Write(encoded); err != nil {
+		_ = w.discardPartialRecord() // the error of the write is reported
+		return err
+	}
+	return w.file.Sync()
+}
+
+// discardPartialRecord cuts off what a failed write has left: a record behind half of another one would be lost with
+// it.
+func (w *wal) discardPartialRecord() error {
+	if err := w.file.Truncate(w.size); err != nil {
+		return err
+	}
+	_, err := w.file.Seek(w.size, io.SeekStart)
+	return err
+}
+
+// compact writes what still counts to a new file that takes the place of the old one.
+func (w *wal) compact() error {
+	content, err := w.encodeAll()
+	if err != nil {
+		return err
+	}
+	newPath := w.path + ".new"
+	file, err := w.writeNewFile(newPath, content)
+	if err != nil {
+		return err // the old file stays
+	}
+	if err := w.files.Rename(newPath, w.path); err != nil {
+		_ = file.Close() // the old file stays
+		return err
+	}
+	_ = w.file.Close() // nothing more is written to it, and it has no name any more
+	w.file = file
+	w.size = int64(len(content))
+	return w.files.SyncFolder(filepath.Dir(w.path))
+}
+
+// encodeAll returns records that amount to what is held in memory.
+func (w *wal) encodeAll() ([]byte, error) {
+	var content []byte
+	appendRecord := func(record walRecord) error {
+		encoded, err := record.encode()
+		content = append(content, encoded...)
+		return err
+	}
+	for key, value := range w.stable {
+		if err := appendRecord(walRecord{Key: key, Value: value}); err != nil {
+			return nil, err
+		}
+	}
+	for index := w.firstIndex; index > 0 && index <= w.lastIndex; index++ {
+		if err := appendRecord(walRecord{Entries: []*raft.Log{w.entries[index]}}); err != nil {
+			return nil, err
+		}
+	}
+	return content, nil
+}
+
+// writeNewFile writes content to a new file through to the disk, and returns it open behind the content.
+func (w *wal) writeNewFile(path string, content []byte) (logFile, error) {
+	file, err := w.files.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC)
+	if err != nil {
+		return nil, err
+	}
+	_, err = file.Write(content)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err != nil {
+		_ = file.Close() // the file is given up
+		return nil, err
+	}
+	return file, nil
+}
--- a/internal/store/wal_record.go
+++ b/internal/store/wal_record.go
@@ -9,7 +9,8 @@
 	"github.com/hashicorp/raft"
 )
 
-// A record in the file is the length of its body as 4 bytes, the CRC-32C of the body, and the body as JSON.
+// A record in the file is the length of its body as 4 bytes, the CRC-32C of the body, and the body as JSON. Records of
+// more than maxRecordBytes are not written; earlier versions wrote them, so they are read.
 const (
 	recordLengthBytes = 4
 	recordHeaderBytes = 8
@@ -47,9 +48,8 @@
 	if len(content) < recordHeaderBytes {
 		return 0, false
 	}
-	bodyLength := int(binary.BigEndian.Uint32(content))
-	length = recordHeaderBytes + bodyLength
-	if bodyLength > maxRecordBytes || len(content) < length {
+	length = recordHeaderBytes + int(binary.BigEndian.Uint32(content))
+	if len(content) < length {
 		return 0, false
 	}
 	return length, true
