Store log: entries too long for one record are written as several

What callers saw: a member that was handed entries of more than 64 MiB at once acknowledged them, and cut them off as torn at its next start. No case is known from operation.

Cause: the bound on a record was checked when reading and not when writing.

Change: a batch is split into records within the bound, written and synced at once; a single entry beyond it is an error.

Now entries 1 to 4 are there, and the tests of the log and its golden files pass.

--- a/internal/store/wal.go
+++ b/internal/store/wal.go
@@ -127,7 +127,7 @@
 		entry := *log
 		entries[i] = &entry
 	}
-	return w.add(walRecord{Entries: entries})
+	return w.addEntries(entries)
 }
 
 // DeleteRange implements raft.LogStore.
--- a/internal/store/wal_append.go
+++ b/internal/store/wal_append.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -11,6 +12,9 @@
 // defaultCompactionThreshold is the size in bytes from which a deletion of entries rewrites a member's log.
 const defaultCompactionThreshold = 1 << 20
 
+// errRecordTooLong says that one entry would make a record that is longer than the file may hold.
+var errRecordTooLong = errors.New("record too long")
+
 // add writes a record through to the disk before it counts.
 func (w *wal) add(record walRecord) error {
 	encoded, err := record.encode()
@@ -20,6 +24,40 @@
 	return w.addEncoded(encoded, record)
 }
 
+// addEntries writes entries through to the disk before they count, in as many records as their size needs.
+func (w *wal) addEntries(entries []*raft.Log) error {
+	encoded, records, err := encodeEntries(entries)
+	if err != nil {
+		return err
+	}
+	return w.addEncoded(encoded, records...)
+}
+
+// encodeEntries returns records that hold the entries, each no longer than maxRecordBytes.
+func encodeEntries(entries []*raft.Log) (encoded []byte, records []walRecord, err error) {
+	record := walRecord{Entries: entries}
+	encoded, err = record.encode()
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(encoded)-recordHeaderBytes <= maxRecordBytes {
+		return encoded, []walRecord{record}, nil
+	}
+	if len(entries) == 1 {
+		return nil, nil, errRecordTooLong
+	}
+	middle := len(entries) / 2
+	first, firstRecords, err := encodeEntries(entries[:middle])
+	if err != nil {
+		return nil, nil, err
+	}
+	second, secondRecords, err := encodeEntries(entries[middle:])
+	if err != nil {
+		return nil, nil, err
+	}
+	return append(first, second...), append(firstRecords, secondRecords...), nil
+}
+
 // addEncoded writes records that are already encoded.
 func (w *wal) addEncoded(encoded []byte, records ...walRecord) error {
 	w.mu.Lock()
--- a/internal/store/wal_damage_test.go
+++ b/internal/store/wal_damage_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"slices"
 	"testing"
+
+	"github.com/hashicorp/raft"
 )
 
 // requireDamage fails the test unless the log is refused with the record at an offset, and left as it is.
@@ -70,3 +72,27 @@
 		mustClose(t, w)
 	}
 }
+
+// Guards against acknowledged entries that the next start takes for torn because their record is longer than allowed.
+func TestEntriesTooLongForOneRecord(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	w := mustOpenWAL(t, path)
+	const entryBytes = 20 << 20 // a third of a record, as it is encoded in base64
+	var entries []*raft.Log
+	for index := uint64(1); index <= 4; index++ {
+		entries = append(entries, &raft.Log{Index: index, Data: make([]byte, entryBytes)})
+	}
+	if err := w.StoreLogs(entries); err != nil {
+		t.Fatal(err)
+	}
+	tooLong := &raft.Log{Index: 5, Data: make([]byte, maxRecordBytes)}
+	if err := w.StoreLog(tooLong); !errors.Is(err, errRecordTooLong) {
+		t.Errorf("an entry too long: %v", err)
+	}
+	mustClose(t, w)
+	w = mustOpenWAL(t, path)
+	defer mustClose(t, w)
+	if w.firstIndex != 1 || w.lastIndex != 4 || w.tornBytes != 0 {
+		t.Errorf("entries %d to %d, %d bytes torn", w.firstIndex, w.lastIndex, w.tornBytes)
+	}
+}
