A full disk of the store no longer ends the router

What callers saw: with the store on and its disk full, the next election ended the router with all that it had in hand; its next start panicked too.

Cause: raft panics where its term can't be saved.

Change: stableStore tries again until the disk takes the term; raft's goroutine waits meanwhile and the member promises nothing. Where the store stops first, that goroutine ends there. A start writes the term once before raft does, so that a full disk is an error and no panic. store_test.go's clusters can have disks of their own.

Evidence, TestMemberOutlivesAFullDisk with the log as raft's stable store, as before: panic: failed to save current term: no space left on device, in raft.(*Raft).electSelf.

--- /dev/null
+++ b/internal/store/disk_fault_test.go
@@ -0,0 +1,70 @@
+package store
+
+import (
+	"sync/atomic"
+	"syscall"
+	"testing"
+)
+
+// faultyDisk is the machine's file system with faults that a test turns on and off.
+type faultyDisk struct {
+	osFileSystem
+	full atomic.Bool // writes fail
+}
+
+// OpenFile implements fileSystem.
+func (d *faultyDisk) OpenFile(path string, flag int) (logFile, error) {
+	file, err := d.osFileSystem.OpenFile(path, flag)
+	return &faultyDiskFile{logFile: file, disk: d}, err
+}
+
+type faultyDiskFile struct {
+	logFile
+	disk *faultyDisk
+}
+
+// Write implements io.Writer.
+func (f *faultyDiskFile) Write(data []byte) (int, error) {
+	if f.disk.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.logFile.Write(data)
+}
+
+// stopAndRestart ends a member and starts it again, so that the members elect a leader anew where it led.
+func (c *cluster) stopAndRestart(t *testing.T, name string) {
+	t.Helper()
+	c.stop(t, name)
+	c.start(t, name, TLSFiles{})
+}
+
+// Guards against a full disk that ends the whole program: raft panics where it can't save its term.
+func TestMemberOutlivesAFullDisk(t *testing.T) {
+	disk := &faultyDisk{}
+	c := newClusterOnDisks(t, 3, 8, map[string]fileSystem{"m0": disk})
+	mustPut(t, c.members["m1"], "before", "full")
+	eventuallyHas(t, "m0", c.members["m0"], "before", "full")
+	disk.full.Store(true)
+	termBefore := c.members["m0"].raft.CurrentTerm()
+	mustPut(t, c.members["m0"], "step", "down") // a leader steps down with the first entry that it can't write
+	eventually(t, "another leader", func() bool { return c.leader(t).cfg.Name != "m0" })
+	c.stopAndRestart(t, c.leader(t).cfg.Name)
+	eventually(t, "a later term", func() bool { return c.leader(t).raft.CurrentTerm() > termBefore })
+	mustPut(t, c.members["m1"], "while", "full")
+	eventuallyHas(t, "m2", c.members["m2"], "while", "full")
+	if !hasValue(c.members["m0"], "before", "full") {
+		t.Error("m0 no longer has what it had")
+	}
+	disk.full.Store(false)
+	eventuallyHas(t, "m0", c.members["m0"], "while", "full")
+}
+
+// Guards against a start on a full disk that panics or hangs.
+func TestStartOnAFullDiskIsAnError(t *testing.T) {
+	disk := &faultyDisk{}
+	disk.full.Store(true)
+	_, err := Open(Config{Name: "m0", Folder: t.TempDir(), Peers: peers(t, 1), files: disk}, discardLog)
+	if err == nil {
+		t.Fatal("started")
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -38,6 +38,15 @@
 	LogEntries   int               // log entries kept before a snapshot takes their place
 	QueuedWrites int               // writes that may wait
 	TLS          TLSFiles          // what members authenticate each other with
+
+	files fileSystem // of the log; nil is the machine's
+}
+
+func (c Config) fileSystem() fileSystem {
+	if c.files == nil {
+		return osFileSystem{}
+	}
+	return c.files
 }
 
 // Store is one member.
@@ -46,6 +55,7 @@
 	log       *slog.Logger
 	raft      *raft.Raft
 	wal       *wal
+	stable    *stableStore
 	stream    *streamLayer
 	machine   *stateMachine
 	queue     chan fsm.Change
@@ -62,7 +72,7 @@
 	if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
 		return nil, fmt.Errorf("store.folder: %w", err)
 	}
-	w, err := openWAL(filepath.Join(cfg.Folder, "log"))
+	w, err := openWALIn(cfg.fileSystem(), filepath.Join(cfg.Folder, "log"))
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
@@ -103,7 +113,12 @@
 	}
 	// The transport of raft uses the sockets of the standard library: nbio has none that fits its interface.
 	transport := raft.NewNetworkTransport(s.stream, raftConnections, applyTimeout, io.Discard)
-	s.raft, err = raft.NewRaft(s.raftConfig(), s.machine, s.wal, s.wal, snapshots, transport)
+	if err := s.checkLogIsWritable(); err != nil {
+		_ = s.stream.Close() // the caller needs the reason of the failed start
+		return err
+	}
+	s.stable = newStableStore(s.wal, s.log)
+	s.raft, err = raft.NewRaft(s.raftConfig(), s.machine, s.wal, s.stable, snapshots, transport)
 	if err != nil {
 		_ = s.stream.Close() // the caller needs the reason of the failed start
 		return err
@@ -117,6 +132,16 @@
 	return s.raft.BootstrapCluster(s.members()).Error()
 }
 
+// checkLogIsWritable writes the term that the log has once more. raft does so when it starts, and panics where it can't.
+func (s *Store) checkLogIsWritable() error {
+	const raftTermKey = "CurrentTerm"
+	term, err := s.wal.GetUint64([]byte(raftTermKey))
+	if err != nil && !errors.Is(err, errKeyNotFound) {
+		return err
+	}
+	return s.wal.SetUint64([]byte(raftTermKey), term)
+}
+
 func (s *Store) raftConfig() *raft.Config {
 	c := raft.DefaultConfig()
 	c.LocalID = raft.ServerID(s.cfg.Name)
@@ -150,11 +175,18 @@
 	return leader != "" && commit > 0 && s.raft.AppliedIndex() >= commit
 }
 
+// stopRaft ends raft and the connections of other members.
+func (s *Store) stopRaft() {
+	shutdown := s.raft.Shutdown()
+	s.stable.stop() // raft's goroutine may wait in it
+	_ = shutdown.Error()
+	_ = s.stream.Close() // the listener is gone either way
+}
+
 // Close stops this member. Writes that are still queued are dropped.
 func (s *Store) Close() error {
 	close(s.quit)
 	s.done.Wait()
-	err := s.raft.Shutdown().Error()
-	_ = s.stream.Close() // the listener is gone either way
-	return errors.Join(err, s.wal.close())
+	s.stopRaft()
+	return s.wal.close()
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -59,12 +59,25 @@
 	folder    string
 	entries   int
 	members   map[string]*Store
+	disks     map[string]fileSystem // by member; the machine's where there is none
 }
 
 // newCluster starts n members. They are closed at the end of the test.
 func newCluster(t *testing.T, n, entries int) *cluster {
 	t.Helper()
-	c := &cluster{addresses: peers(t, n), folder: t.TempDir(), entries: entries, members: map[string]*Store{}}
+	return newClusterOnDisks(t, n, entries, nil)
+}
+
+// newClusterOnDisks is newCluster with disks of their own for some members.
+func newClusterOnDisks(t *testing.T, n, entries int, disks map[string]fileSystem) *cluster {
+	t.Helper()
+	c := &cluster{
+		addresses: peers(t, n),
+		folder:    t.TempDir(),
+		entries:   entries,
+		members:   map[string]*Store{},
+		disks:     disks,
+	}
 	t.Cleanup(func() {
 		for name := range c.members {
 			c.stop(t, name)
@@ -80,7 +93,7 @@
 	t.Helper()
 	s, err := Open(Config{
 		Name: name, Folder: filepath.Join(c.folder, name), Peers: c.addresses,
-		LogEntries: c.entries, QueuedWrites: 64, TLS: files,
+		LogEntries: c.entries, QueuedWrites: 64, TLS: files, files: c.disks[name],
 	}, discardLog)
 	if err != nil {
 		t.Fatal(err)
