Store log: nothing is acknowledged behind a failed sync or cut

What callers saw: after one failed sync, or a failed cut behind a failed write, a member went on acknowledging entries, terms and votes that its next crash took away.

Cause: the record of a failed sync stood in the file and was not counted in its size, and a later sync succeeds without what the system has dropped; errors of Truncate and Seek were dropped.

Change: behind a failed sync, cut, seek, rename or sync of the folder every write fails with a FailedError until the next start. The store says so once, ends raft and its connections, and still answers reads.

--- a/internal/store/disk_fault_test.go
+++ b/internal/store/disk_fault_test.go
@@ -1,15 +1,19 @@
 package store
 
 import (
+	"fmt"
 	"sync/atomic"
 	"syscall"
 	"testing"
+
+	"github.com/hashicorp/raft"
 )
 
 // faultyDisk is the machine's file system with faults that a test turns on and off.
 type faultyDisk struct {
 	osFileSystem
-	full atomic.Bool // writes fail
+	full      atomic.Bool // writes fail
+	failsSync atomic.Bool
 }
 
 // OpenFile implements fileSystem.
@@ -31,6 +35,14 @@
 	return f.logFile.Write(data)
 }
 
+// Sync implements logFile.
+func (f *faultyDiskFile) Sync() error {
+	if f.disk.failsSync.Load() {
+		return syscall.EIO
+	}
+	return f.logFile.Sync()
+}
+
 // stopAndRestart ends a member and starts it again, so that the members elect a leader anew where it led.
 func (c *cluster) stopAndRestart(t *testing.T, name string) {
 	t.Helper()
@@ -59,6 +71,30 @@
 	eventuallyHas(t, "m0", c.members["m0"], "while", "full")
 }
 
+// Guards against a member that goes on promising what its disk may have dropped, once a sync has failed.
+func TestMemberStopsAfterAFailedSync(t *testing.T) {
+	disk := &faultyDisk{}
+	c := newClusterOnDisks(t, 3, 8, map[string]fileSystem{"m0": disk})
+	mustPut(t, c.members["m1"], "before", "fault")
+	for name, s := range c.members {
+		eventuallyHas(t, name, s, "before", "fault")
+	}
+	disk.failsSync.Store(true)
+	mustPut(t, c.members["m1"], "with", "fault")
+	eventuallyHas(t, "m2", c.members["m2"], "with", "fault")
+	eventually(t, "m0 stops", func() bool { return c.members["m0"].raft.State() == raft.Shutdown })
+	disk.failsSync.Store(false)
+	for i := range 10 {
+		mustPut(t, c.members["m1"], "behind", fmt.Sprint(i))
+	}
+	eventuallyHas(t, "m2", c.members["m2"], "behind", "9")
+	if hasValue(c.members["m0"], "behind", "9") || !hasValue(c.members["m0"], "before", "fault") {
+		t.Error("m0 does not stand where it was")
+	}
+	c.stopAndRestart(t, "m0")
+	eventuallyHas(t, "m0", c.members["m0"], "behind", "9")
+}
+
 // Guards against a start on a full disk that panics or hangs.
 func TestStartOnAFullDiskIsAnError(t *testing.T) {
 	disk := &faultyDisk{}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -92,8 +92,9 @@
 		_ = w.close() // nothing was written; the caller needs the reason of the failed start
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	s.done.Add(1)
+	s.done.Add(2)
 	go s.replicateQueue()
+	go s.stopOnFailedLog()
 	return s, nil
 }
 
@@ -175,6 +176,18 @@
 	return leader != "" && commit > 0 && s.raft.AppliedIndex() >= commit
 }
 
+// stopOnFailedLog stops raft once the log can't be written any more. What this member has can still be read.
+func (s *Store) stopOnFailedLog() {
+	defer s.done.Done()
+	select {
+	case <-s.quit:
+		return
+	case <-s.wal.failed:
+	}
+	s.log.Error("store stopped: log not written any more", "error", s.wal.writeFailure())
+	s.stopRaft()
+}
+
 // stopRaft ends raft and the connections of other members.
 func (s *Store) stopRaft() {
 	shutdown := s.raft.Shutdown()
--- a/internal/store/wal.go
+++ b/internal/store/wal.go
@@ -25,6 +25,9 @@
 	tornBytes  int64 // of an unfinished record that were cut off at the start
 
 	compactionThreshold int64 // size of the file in bytes from which a deletion of entries rewrites it
+
+	failure error         // why nothing is written any more; nil while records are written
+	failed  chan struct{} // closed once failure is set
 }
 
 // openWAL opens the log at path, or creates it.
@@ -37,11 +40,13 @@
 		return nil, err
 	}
 	w := &wal{
-		path:                path,
-		files:               files,
-		file:                file,
-		entries:             map[uint64]*raft.Log{},
-		stable:              map[string][]byte{},
+		path:    path,
+		files:   files,
+		file:    file,
+		entries: map[uint64]*raft.Log{},
+		stable:  map[string][]byte{},
+		failed:  make(chan struct{}),
+
 		compactionThreshold: defaultCompactionThreshold,
 	}
 	err = w.load()
--- a/internal/store/wal_append.go
+++ b/internal/store/wal_append.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -15,6 +16,21 @@
 // errRecordTooLong says that one entry would make a record that is longer than the file may hold.
 var errRecordTooLong = errors.New("record too long")
 
+// FailedError says that the system may not have kept what was written to the log, or that it may have kept part of
+// what was not acknowledged. Nothing more is written until the next start, which reads what the disk has.
+type FailedError struct {
+	File string
+	Err  error
+}
+
+// Error implements error.
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("%s: not written any more: %v", e.File, e.Err)
+}
+
+// Unwrap returns what the system said.
+func (e *FailedError) Unwrap() error { return e.Err }
+
 // add writes a record through to the disk before it counts.
 func (w *wal) add(record walRecord) error {
 	encoded, err := record.encode()
@@ -62,6 +78,9 @@
 func (w *wal) addEncoded(encoded []byte, records ...walRecord) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.failure != nil {
+		return w.failure
+	}
 	if err := w.appendSynced(encoded); err != nil {
 		return err
 	}
@@ -80,10 +99,17 @@
 // appendSynced appends to the file and waits for the disk.
 func (w *wal) appendSynced(encoded []byte) error {
 	if _, err := w.file.Write(encoded); err != nil {
-		_ = w.discardPartialRecord() // the error of the write is reported
+		if cutErr := w.discardPartialRecord(); cutErr != nil {
+			return w.fail(errors.Join(err, cutErr))
+		}
 		return err
 	}
-	return w.file.Sync()
+	// A sync that has failed can't be tried again: the system may have dropped what it could not write, and the next
+	// sync would succeed without it.
+	if err := w.file.Sync(); err != nil {
+		return w.fail(err)
+	}
+	return nil
 }
 
 // discardPartialRecord cuts off what a failed write has left: a record behind half of another one would be lost with
@@ -96,6 +122,20 @@
 	return err
 }
 
+// fail makes every later write fail, and returns the error that says so.
+func (w *wal) fail(err error) error {
+	w.failure = &FailedError{File: w.path, Err: err}
+	close(w.failed)
+	return w.failure
+}
+
+// writeFailure returns why nothing is written any more, or nil.
+func (w *wal) writeFailure() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failure
+}
+
 // compact writes what still counts to a new file that takes the place of the old one.
 func (w *wal) compact() error {
 	content, err := w.encodeAll()
@@ -107,14 +147,18 @@
 	if err != nil {
 		return err // the old file stays
 	}
+	// From here on a failure leaves open which of both files the next start finds.
 	if err := w.files.Rename(newPath, w.path); err != nil {
-		_ = file.Close() // the old file stays
-		return err
+		_ = file.Close() // the old file is used until the end
+		return w.fail(err)
 	}
 	_ = w.file.Close() // nothing more is written to it, and it has no name any more
 	w.file = file
 	w.size = int64(len(content))
-	return w.files.SyncFolder(filepath.Dir(w.path))
+	if err := w.files.SyncFolder(filepath.Dir(w.path)); err != nil {
+		return w.fail(err)
+	}
+	return nil
 }
 
 // encodeAll returns records that amount to what is held in memory.
