--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -133,7 +133,8 @@
 	return s.raft.BootstrapCluster(s.members()).Error()
 }
 
-// checkLogIsWritable writes the term that the log has once more. raft does so when it starts, and panics where it can't.
+// checkLogIsWritable writes the term that the log has once more. raft does so when it starts, and panics where it
+// cannot.
 func (s *Store) checkLogIsWritable() error {
 	const raftTermKey = "CurrentTerm"
 	term, err := s.wal.GetUint64([]byte(raftTermKey))
