Debug log: a rejection has its reason, and health checks tell how they ended

What operators saw: every 'request rejected' of the balancer was logged with reason="", and nothing told which health checks a router had made, so that a missed return of a site could not be traced.

Cause: balance.Reject carried no reason, and the core logged attempts only.

Change: balance.Reject names why (no endpoint in time, no listed group, no primary, no attempt that brought an answer), the core logs it, and debug has 'health check ended'.

--- a/balance/action.go
+++ b/balance/action.go
@@ -16,8 +16,30 @@
 type Reject struct {
 	ID         string
 	RetryAfter time.Duration
+	Reason     RejectReason
 }
 
+// RejectReason is why a request is rejected, for the engineers on call.
+type RejectReason uint8
+
+// The reasons for a rejection.
+const (
+	RejectNoEndpoint RejectReason = iota // no endpoint could take it in useful time
+	RejectNoGroup                        // no endpoint is listed in its replica group
+	RejectNoPrimary                      // it needs the primary, which is not known or cannot be reached
+	RejectUnanswered                     // it was sent, and no attempt brought an answer
+)
+
+var rejectReasonTexts = [...]string{
+	RejectNoEndpoint: "no endpoint could take it in time",
+	RejectNoGroup:    "no endpoint is listed in its replica group",
+	RejectNoPrimary:  "the primary of its replica group is not known or cannot be reached",
+	RejectUnanswered: "no attempt brought an answer",
+}
+
+// String says the reason in words.
+func (r RejectReason) String() string { return rejectReasonTexts[r] }
+
 // Fail is a final answer that promises nothing.
 type Fail struct{ ID string }
 
--- a/balance/pending_queue.go
+++ b/balance/pending_queue.go
@@ -110,11 +110,23 @@
 	if request.repeatMayRunTwice() {
 		b.emit(Fail{ID: request.id})
 	} else {
-		b.emit(Reject{ID: request.id, RetryAfter: b.retryAfter(request.class)})
+		b.emit(Reject{ID: request.id, RetryAfter: b.retryAfter(request.class), Reason: request.rejectReason()})
 	}
 	b.closeRequest(request)
 }
 
+// rejectReason is the best that can be told of why a request is rejected now.
+func (q *request) rejectReason() RejectReason {
+	switch {
+	case q.class.isWrite() && q.group.primaryLost():
+		return RejectNoPrimary
+	case q.reached:
+		return RejectUnanswered
+	default:
+		return RejectNoEndpoint
+	}
+}
+
 // retryAfter is what a rejected client is told to wait, wherever it can hear it: one that comes back at once meets
 // what rejected it.
 func (b *Balancer) retryAfter(class *classState) time.Duration {
--- a/balance/request.go
+++ b/balance/request.go
@@ -94,7 +94,7 @@
 		return
 	}
 	if b.groups[event.Group] == nil && len(b.endpoints) > 0 {
-		b.emit(Reject{ID: event.ID, RetryAfter: b.retryAfter(class)})
+		b.emit(Reject{ID: event.ID, RetryAfter: b.retryAfter(class), Reason: RejectNoGroup})
 		return
 	}
 	group := b.groupFor(event.Group)
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -2,8 +2,11 @@
 
 import "time"
 
-// Reasons in the audit record of a request that was rejected before the balancer heard of it.
+// Reasons for the rejection of a request of which the balancer has not heard.
 const (
+	reasonTooManyInFlight = "too many requests are in flight"
+
+	// These go into the audit record as well.
 	reasonExpiredUnread = "its time was over before it could be begun"
 	reasonSiteLost      = "a site is lost and there is no place for it"
 )
@@ -12,7 +15,7 @@
 func (r *Router) admit(req *request) {
 	if len(r.inFlight) >= r.limits.Router.InFlightRequests {
 		// Nothing is kept of a request beyond the limit, so that memory stays bounded.
-		r.rejectLater(req, 0, "")
+		r.loop.Post(func() { r.reject(req, 0, reasonTooManyInFlight) })
 		return
 	}
 	if req.answerBy <= r.loop.Now() {
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"limeladder/balance"
@@ -106,7 +108,7 @@
 	if req.attempts.mayHaveRun && !r.isIdempotent(req) {
 		r.fail(req, reasonDeadlinePassed)
 	} else {
-		r.reject(req, 0)
+		r.reject(req, 0, reasonDeadlinePassed)
 	}
 }
 
@@ -114,6 +116,7 @@
 func (r *Router) checkHealthForBalancer(endpoint string) {
 	startedAt := r.loop.Now()
 	r.backends.HealthCheck(endpoint, func(result Result) {
+		r.logHealthCheck(endpoint, startedAt, &result)
 		r.reportToSites(endpoint, &result)
 		r.reportHealthCheck(endpoint, startedAt, &result)
 		r.failoverQueue.healthCheckEnded(endpoint, &result)
@@ -125,6 +128,7 @@
 func (r *Router) checkHealth(endpoint string) {
 	startedAt := r.loop.Now()
 	r.backends.HealthCheck(endpoint, func(result Result) {
+		r.logHealthCheck(endpoint, startedAt, &result)
 		r.reportToSites(endpoint, &result)
 		if result.Status == balance.StatusDone {
 			r.reportHealthCheck(endpoint, startedAt, &result)
@@ -133,6 +137,15 @@
 	})
 }
 
+// logHealthCheck logs how a health check has ended.
+func (r *Router) logHealthCheck(endpoint string, startedAt time.Duration, result *Result) {
+	if !r.log.Enabled(context.Background(), slog.LevelDebug) {
+		return // nothing is built for the log
+	}
+	r.log.Debug("health check ended", "endpoint", endpoint, "status", int(result.Status), "role", int(result.Role),
+		"elapsed", r.loop.Now()-startedAt)
+}
+
 // reportHealthCheck hands the balancer the result of a health check.
 func (r *Router) reportHealthCheck(endpoint string, startedAt time.Duration, result *Result) {
 	r.notifyBalancer(balance.HealthCheckResult{
--- a/internal/router/failover_queue.go
+++ b/internal/router/failover_queue.go
@@ -31,7 +31,7 @@
 	submit(req *request)
 	withdraw(req *request)
 	// reject answers a request.
-	reject(req *request, retryAfter time.Duration)
+	reject(req *request, retryAfter time.Duration, reason string)
 	// checkHealth starts a health check.
 	checkHealth(endpoint string)
 }
@@ -368,7 +368,7 @@
 	req.queued = false
 	q.log.Debug("queued request rejected",
 		"request", req.ClientRequestID, "class", req.Class, "reason", action.Reason.String())
-	q.host.reject(req, action.RetryAfter)
+	q.host.reject(req, action.RetryAfter, action.Reason.String())
 }
 
 // reportPhase logs and records the phase of a replica group's failover.
--- a/internal/router/failover_queue_test.go
+++ b/internal/router/failover_queue_test.go
@@ -158,7 +158,7 @@
 func (h *fakeQueueHost) withdraw(req *request) { h.withdrawn = append(h.withdrawn, req.id) }
 func (h *fakeQueueHost) checkHealth(string)    {}
 
-func (h *fakeQueueHost) reject(req *request, _ time.Duration) {
+func (h *fakeQueueHost) reject(req *request, _ time.Duration, _ string) {
 	h.rejected = append(h.rejected, req.id)
 }
 
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -46,23 +46,30 @@
 	r.release(req)
 }
 
-// reject answers that no endpoint could take the request and that nothing has run.
-func (r *Router) reject(req *request, retryAfter time.Duration) { r.rejectFor(req, retryAfter, "") }
+// reject answers that no endpoint could take the request and that nothing has run. The reason goes into the debug log.
+func (r *Router) reject(req *request, retryAfter time.Duration, reason string) {
+	r.answerRejected(req, retryAfter, reason, "")
+}
 
-// rejectFor is reject for another reason, which goes into the audit record. A rejection always says when to come
-// back: retryAfter 0 stands for the default.
+// rejectFor is reject for a reason that goes into the audit record as well.
 func (r *Router) rejectFor(req *request, retryAfter time.Duration, reason string) {
+	r.answerRejected(req, retryAfter, reason, reason)
+}
+
+// answerRejected answers that nothing has run. A rejection always says when to come back: retryAfter 0 stands for the
+// default.
+func (r *Router) answerRejected(req *request, retryAfter time.Duration, loggedReason, recordedReason string) {
 	if req.finished {
 		return
 	}
 	r.finish(req)
 	r.counts.Rejected++
 	r.log.Debug("request rejected", "request", req.ClientRequestID, "class", req.Class, "attempts", req.attempts.requested,
-		"elapsed", r.age(req), "reason", reason)
+		"elapsed", r.age(req), "reason", loggedReason)
 	if retryAfter <= 0 {
 		retryAfter = r.limits.Router.DefaultRetryAfter
 	}
-	r.auditAnswer(req, audit.Refused, audit.Answer{Retry: retryAfter, Reason: reason})
+	r.auditAnswer(req, audit.Refused, audit.Answer{Retry: retryAfter, Reason: recordedReason})
 	req.client.Rejected(retryAfter)
 	r.release(req)
 }
--- a/internal/router/route.go
+++ b/internal/router/route.go
@@ -132,7 +132,7 @@
 func (r *Router) performReject(action balance.Reject) {
 	req := r.inFlight[action.ID]
 	if req != nil {
-		r.reject(req, action.RetryAfter)
+		r.reject(req, action.RetryAfter, action.Reason.String())
 	}
 }
 
