Site failover: a lost site is looked at without requests, so that its return is not missed

What callers saw: a site that flaps was taken for lost all the while by some routers, its next return was not paced there, and reads and writes went to it at full share. Known red: TestHardCasesOfLostSites/it_flaps, "nobody paces its return".

Cause: a router heard of a lost site's endpoints by its own requests, which avoid it or are shed, and by the balancer's checks of suspect endpoints, up to 2 s apart; the site was back for 1.5 s.

Change: while a site is lost or recovering the site monitor asks each of its endpoints for a load report every 300 ms, 20 times a second by all routers together at most. The balancer hears of successes only.

TestLostSiteIsCheckedWithoutRequests before: the site is [lost returning returning], want [lost returning lost]. router and sitefailover pass.

--- a/internal/router/site_monitor.go
+++ b/internal/router/site_monitor.go
@@ -44,6 +44,7 @@
 	host       siteMonitorHost
 	statistics endpointStatistics
 	observer   siteObserver // nil = nobody acts on the state of sites
+	checks     *siteChecks  // nil = endpoints are not checked
 	loop       *eventloop.Loop
 	log        *slog.Logger
 	audit      auditLog
@@ -74,6 +75,7 @@
 	if r.healthChecksEnabled {
 		interval := utilizationCheckInterval * time.Duration(max(1, r.instances/utilizationChecksPerSecond))
 		r.siteMonitor.scheduleUtilizationCheck(interval, 0)
+		r.siteMonitor.checks = newSiteChecks(r, r.instances)
 	}
 }
 
@@ -239,6 +241,7 @@
 	if m.observer != nil {
 		next = earliest(next, m.observer.update(now))
 	}
+	next = earliest(next, m.checks.update(now, m.monitor))
 	m.timer.Stop()
 	if next > 0 {
 		m.timer = m.loop.AfterFunc(max(0, next-now), func() { m.evaluate(nil) })
--- a/internal/sitefailover/view.go
+++ b/internal/sitefailover/view.go
@@ -54,6 +54,24 @@
 	return site != nil && site.state == SiteLost
 }
 
+// EndpointsOfFailedSites returns the ids of the endpoints of sites that are lost or recovering, in order. Endpoints that
+// drain or are not listed are left out.
+func (m *Monitor) EndpointsOfFailedSites() []string {
+	var ids []string
+	for _, site := range m.sites {
+		if site.state != SiteLost && site.state != SiteRecovering {
+			continue
+		}
+		for id, endpoint := range site.endpoints {
+			if !endpoint.draining && endpoint.unlistedSince == 0 {
+				ids = append(ids, id)
+			}
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Flaps returns how often a site has failed again while it recovered.
 func (m *Monitor) Flaps(name string) int {
 	if site := m.sites[name]; site != nil {
