Multi-process tests: a run says how long the machine kept processes waiting

What was seen: TestHardCasesOfLostSites/it_flaps failed at times beside load with answers late and missing at one moment, or with all routers taking healthy sites for lost, and nothing told whether routers, endpoints or the machine stood still.

Cause: the driver plays clients, endpoints and proxies in one process and did not measure its own lateness.

No check or bound is changed.

--- a/cmd/limeladder-sim/rig.go
+++ b/cmd/limeladder-sim/rig.go
@@ -77,6 +77,7 @@
 			}
 			fmt.Fprintln(out, " ", b)
 		}
+		fmt.Fprintln(out, "  longest waits for a processor:", res.Delays)
 		fmt.Fprintln(out, "  timeline:", res.Timeline)
 		if len(s.Config.Faults) > 1 && c.Shrink > 0 {
 			small, err := multiprocess.Shrink(multiprocess.Options{Config: s.Config, Seed: seed}, c.Shrink, play)
--- a/internal/simulation/multiprocess/history/fact.go
+++ b/internal/simulation/multiprocess/history/fact.go
@@ -117,6 +117,13 @@
 // ScriptStep is the fact that a step of the script was carried out.
 type ScriptStep struct{ Text string }
 
+// SchedulingDelay is the fact that the machine kept a process from running: a router, or the driver, which plays clients,
+// endpoints and discovery.
+type SchedulingDelay struct {
+	Process string
+	Delay   time.Duration
+}
+
 // EndpointOverloaded is the fact that an endpoint was overloaded while it was warming up.
 type EndpointOverloaded struct{ Endpoint string }
 
@@ -163,5 +170,10 @@
 // String implements Fact.
 func (fact ScriptStep) String() string { return "step: " + fact.Text }
 
+// String implements Fact.
+func (fact SchedulingDelay) String() string {
+	return fmt.Sprintf("%s waited %v for a processor", fact.Process, fact.Delay.Round(time.Millisecond))
+}
+
 // String implements Fact.
 func (fact EndpointOverloaded) String() string { return fact.Endpoint + " is pushed over while cold" }
--- a/internal/simulation/multiprocess/process.go
+++ b/internal/simulation/multiprocess/process.go
@@ -97,6 +97,16 @@
 	return p.cmd != nil && p.cmd.Process.Signal(s) == nil
 }
 
+// pid returns the id of the process that runs. ok is false where none does.
+func (p *process) pid() (pid int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0, false
+	}
+	return p.cmd.Process.Pid, true
+}
+
 // wait waits until the process that runs has ended.
 func (p *process) wait(most time.Duration) bool {
 	p.mu.Lock()
--- a/internal/simulation/multiprocess/rig.go
+++ b/internal/simulation/multiprocess/rig.go
@@ -54,6 +54,7 @@
 	Broken                      []check.Violation
 	History                     []history.Entry
 	Timeline                    string // its file
+	Delays                      SchedulingDelays
 }
 
 // Driver is what is running.
@@ -252,13 +253,14 @@
 	for _, f := range cfg.Faults {
 		r.later(f.At, func() { r.step(f) })
 	}
+	delays := watchScheduling(r.log, r.routers, r.stop)
 	got := c.Run(cfg.Length)
 	close(r.stop)
 	r.steps.Wait()
 	for _, id := range r.host.Pushed() {
 		r.log.Add(history.EndpointOverloaded{Endpoint: id})
 	}
-	res := &Result{Tally: got.Tally, Seconds: got.Seconds, History: r.log.Entries()}
+	res := &Result{Tally: got.Tally, Seconds: got.Seconds, History: r.log.Entries(), Delays: <-delays}
 	res.Whole, res.Window, res.Class, res.Worst = fleet.Score(got.Seconds, got.Tally)
 	res.Worth = 0.5*res.Whole + 0.3*res.Window + 0.2*res.Class
 	res.Broken = check.Run(check.Limits{DrainGrace: cfg.Grace + 50*time.Millisecond, LateTolerance: lateness, NotificationTimeout: 6 * time.Second}, res.History, check.All...)
@@ -455,6 +457,11 @@
 	for _, e := range res.History {
 		lines = append(lines, history.TimelineEntry{Time: e.Time, Origin: "rig", Text: e.Fact.String()})
 	}
+	if len(res.History) > 0 {
+		end := res.History[len(res.History)-1].Time
+		text := "longest waits for a processor: " + res.Delays.String()
+		lines = append(lines, history.TimelineEntry{Time: end, Origin: "rig", Text: text})
+	}
 	for _, b := range res.Broken {
 		lines = append(lines, history.TimelineEntry{Time: b.Time, Origin: "RULE", Text: b.String()})
 	}
--- a/internal/simulation/multiprocess/rig_test.go
+++ b/internal/simulation/multiprocess/rig_test.go
@@ -108,7 +108,7 @@
 	t.Helper()
 	p, _ := os.ReadFile(file)
 	for _, line := range strings.Split(string(p), "\n") {
-		if strings.Contains(line, "step:") || strings.Contains(line, "RULE") || strings.Contains(line, `msg="site`) {
+		if strings.Contains(line, "step:") || strings.Contains(line, "RULE") || strings.Contains(line, `msg="site`) || strings.Contains(line, "longest waits") {
 			t.Log(line)
 		}
 	}
