Secrets of audit keys are not stored, logged or shown, and leave stores

With a TLS collector the settings were not stored at all.

Cause: the daemon stores its settings as JSON and the loaded keys were a field of them; the configuration of TLS, with the private key, could not be encoded.

Change: audit.Secret prints, logs and encodes as redacted; loaded keys and TLS are stored as null, as where there are none.

NewPolicy takes a Secret, so one test names that type.

--- a/cmd/limeladder/audit_recording.go
+++ b/cmd/limeladder/audit_recording.go
@@ -144,7 +144,7 @@
 ) (*syslog.Sender, error) {
 	return syslog.NewSender(syslog.Options{
 		Collectors: settings.ParsedCollectors,
-		TLS:        settings.TLS,
+		TLS:        settings.TLS.Config,
 		Seed:       seed,
 		Window:     max(bounds.WindowBytes, minWindowMessages*settings.Bytes),
 		Repeat:     settings.Repeat,
@@ -256,7 +256,7 @@
 		return
 	}
 	r.recorder.SetPolicy(policy)
-	r.sender.Change(deploy.Syslog.ParsedCollectors, deploy.Syslog.TLS)
+	r.sender.Change(deploy.Syslog.ParsedCollectors, deploy.Syslog.TLS.Config)
 	r.deploy = deploy
 	r.log.Info("audit recording reconfigured", "collectors", fmt.Sprint(deploy.Syslog.ParsedCollectors))
 	r.reloaded(reloadedDeploy, nil)
--- a/cmd/limeladder/store.go
+++ b/cmd/limeladder/store.go
@@ -39,6 +39,7 @@
 		LogEntries:   d.limits.Store.LogEntries,
 		QueuedWrites: d.limits.Store.QueuedWrites,
 		TLS:          store.TLSFiles{CA: settings.CA, Cert: settings.Cert, Key: settings.Key},
+		Purge:        holdsSecret,
 	}, d.log)
 	if err != nil {
 		return nil, err
--- a/internal/audit/keys.go
+++ b/internal/audit/keys.go
@@ -4,6 +4,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
+	"log/slog"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -12,12 +14,37 @@
 // Key is a secret that chains records, under a name that is no secret.
 type Key struct {
 	Name   string
-	Secret [32]byte
+	Secret Secret
 }
 
+// Secret is the secret of a key. However it is printed, logged or encoded, it is shown as redacted: whoever has it can
+// forge audit records.
+type Secret [32]byte
+
+// redacted stands for a secret.
+const redacted = "redacted"
+
+// String implements fmt.Stringer.
+func (Secret) String() string { return redacted }
+
+// Format implements fmt.Formatter, for every verb.
+func (Secret) Format(state fmt.State, _ rune) { _, _ = io.WriteString(state, redacted) }
+
+// LogValue implements slog.LogValuer.
+func (Secret) LogValue() slog.Value { return slog.StringValue(redacted) }
+
+// MarshalText implements encoding.TextMarshaler, which JSON and TOML use.
+func (Secret) MarshalText() ([]byte, error) { return []byte(redacted), nil }
+
+// MarshalBinary implements encoding.BinaryMarshaler, which gob uses.
+func (Secret) MarshalBinary() ([]byte, error) { return []byte(redacted), nil }
+
 // Keys are the keys of a key file, the one in force first.
 type Keys []Key
 
+// MarshalJSON implements json.Marshaler. Nothing of a key file is encoded, not even its names.
+func (Keys) MarshalJSON() ([]byte, error) { return []byte("null"), nil }
+
 // maxKeyNameLength bounds a key's name: the head of a chain carries it, whatever the size limit.
 const maxKeyNameLength = 24
 
--- a/internal/audit/policy.go
+++ b/internal/audit/policy.go
@@ -32,7 +32,7 @@
 
 // NewPolicy checks the rules; an error starts with the field's name. key is the secret by which reads are sampled, so
 // that no client can choose request ids that are never recorded.
-func NewPolicy(rules Rules, key *[32]byte) (*Policy, error) {
+func NewPolicy(rules Rules, key *Secret) (*Policy, error) {
 	policy := &Policy{readThreshold: math.MaxUint64, recordsReads: rules.Reads > 0}
 	if err := selectNames(policy.kinds[:], rules.Kinds, Kinds()); err != nil {
 		return nil, fmt.Errorf("kinds: %w", err)
--- a/internal/audit/queue_test.go
+++ b/internal/audit/queue_test.go
@@ -146,7 +146,7 @@
 
 // The rules take what they say, sample served reads alone and alike for one key, and are refused by the field's name.
 func TestPolicy(t *testing.T) {
-	key := [32]byte{1}
+	key := Secret{1}
 	policy, err := NewPolicy(Rules{Outcomes: []string{"served", "Refused"}, Kinds: []string{"answer"}, Reads: 0.25}, &key)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/config/audit.go
+++ b/internal/config/audit.go
@@ -69,7 +69,7 @@
 
 // Policy returns a policy that follows the rules. Each has a state of its own.
 func (a *Audit) Policy() (*audit.Policy, error) {
-	var secret *[32]byte
+	var secret *audit.Secret
 	if len(a.LoadedKeys) > 0 {
 		secret = &a.LoadedKeys[0].Secret
 	}
--- a/internal/config/syslog.go
+++ b/internal/config/syslog.go
@@ -4,6 +4,8 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"io"
+	"log/slog"
 	"os"
 	"time"
 
@@ -44,9 +46,22 @@
 	// These are what the fields above amount to.
 	ParsedCollectors []syslog.Collector `toml:"-" json:"Parsed"`
 	FacilityCode     uint8              `toml:"-"`
-	TLS              *tls.Config        `toml:"-"`
+	TLS              TLSConfig          `toml:"-"`
 }
 
+// TLSConfig is what collectors are reached with; its Config is nil where none is reached over TLS. It may hold the
+// private key of the router's certificate, so it is never printed nor encoded.
+type TLSConfig struct{ *tls.Config }
+
+// Format implements fmt.Formatter, for every verb.
+func (TLSConfig) Format(state fmt.State, _ rune) { _, _ = io.WriteString(state, "redacted") }
+
+// LogValue implements slog.LogValuer.
+func (TLSConfig) LogValue() slog.Value { return slog.StringValue("redacted") }
+
+// MarshalJSON implements json.Marshaler.
+func (TLSConfig) MarshalJSON() ([]byte, error) { return []byte("null"), nil }
+
 // SyslogQueue bounds the records that wait to be sent.
 type SyslogQueue struct {
 	Records int           `toml:"records"` // 0 = by memory
@@ -212,7 +227,7 @@
 
 // readTLS reads the files for TLS. RFC 5425, section 5.2: the certificate of the collector is always checked.
 func (s *Syslog) readTLS() error {
-	s.TLS = &tls.Config{MinVersion: tls.VersionTLS12, ServerName: s.Server}
+	s.TLS.Config = &tls.Config{MinVersion: tls.VersionTLS12, ServerName: s.Server}
 	if s.CA != "" {
 		text, err := os.ReadFile(s.CA)
 		if err != nil {
--- a/internal/simulation/multiprocess/history/fact.go
+++ b/internal/simulation/multiprocess/history/fact.go
@@ -117,8 +117,8 @@
 // ScriptStep is the fact that a step of the script was carried out.
 type ScriptStep struct{ Text string }
 
-// SchedulingDelay is the fact that the machine kept a process from running: a router, or the driver, which plays clients,
-// endpoints and discovery.
+// SchedulingDelay is the fact that the machine kept a process from running: a router, or the driver, which plays
+// clients, endpoints and discovery.
 type SchedulingDelay struct {
 	Process string
 	Delay   time.Duration
--- a/internal/sitefailover/view.go
+++ b/internal/sitefailover/view.go
@@ -54,8 +54,8 @@
 	return site != nil && site.state == SiteLost
 }
 
-// EndpointsOfFailedSites returns the ids of the endpoints of sites that are lost or recovering, in order. Endpoints that
-// drain or are not listed are left out.
+// EndpointsOfFailedSites returns the ids of the endpoints of sites that are lost or recovering, in order. Endpoints
+// that drain or are not listed are left out.
 func (m *Monitor) EndpointsOfFailedSites() []string {
 	var ids []string
 	for _, site := range m.sites {
--- a/internal/store/fsm/history.go
+++ b/internal/store/fsm/history.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -21,6 +22,9 @@
 // History returns the configurations that a key has had, oldest first.
 func (s *State) History(key string) []HistoryEntry { return slices.Clone(s.history[key]) }
 
+// Histories returns the configurations that all keys have had.
+func (s *State) Histories() map[string][]HistoryEntry { return maps.Clone(s.history) }
+
 // Rollback returns the change that restores the configuration of a revision, provided that nobody changes the record
 // before it is applied.
 func (s *State) Rollback(key string, revision uint64) (Change, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -39,6 +39,10 @@
 	QueuedWrites int               // writes that may wait
 	TLS          TLSFiles          // what members authenticate each other with
 
+	// Purge says which values must not stay on the disk. Once no record has one any more the log and the snapshots are
+	// compacted. nil stands for none.
+	Purge func(key string, value []byte) bool
+
 	files fileSystem // of the log; nil is the machine's
 }
 
@@ -55,6 +59,7 @@
 	log       *slog.Logger
 	raft      *raft.Raft
 	wal       *wal
+	snapshots *raft.FileSnapshotStore
 	stable    *stableStore
 	stream    *streamLayer
 	machine   *stateMachine
@@ -95,12 +100,17 @@
 	s.done.Add(2)
 	go s.replicateQueue()
 	go s.stopOnFailedLog()
+	if cfg.Purge != nil {
+		s.done.Add(1)
+		go s.purge()
+	}
 	return s, nil
 }
 
 // start listens for the other members and starts raft.
 func (s *Store) start() error {
-	snapshots, err := raft.NewFileSnapshotStore(s.cfg.Folder, retainedSnapshots, io.Discard)
+	var err error
+	s.snapshots, err = raft.NewFileSnapshotStore(s.cfg.Folder, retainedSnapshots, io.Discard)
 	if err != nil {
 		return err
 	}
@@ -119,13 +129,13 @@
 		return err
 	}
 	s.stable = newStableStore(s.wal, s.log)
-	s.raft, err = raft.NewRaft(s.raftConfig(), s.machine, s.wal, s.stable, snapshots, transport)
+	s.raft, err = raft.NewRaft(s.raftConfig(), s.machine, s.wal, s.stable, s.snapshots, transport)
 	if err != nil {
 		_ = s.stream.Close() // the caller needs the reason of the failed start
 		return err
 	}
 	close(s.started)
-	hasState, err := raft.HasExistingState(s.wal, s.wal, snapshots)
+	hasState, err := raft.HasExistingState(s.wal, s.wal, s.snapshots)
 	if err != nil || hasState {
 		return err
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -60,6 +60,7 @@
 	entries   int
 	members   map[string]*Store
 	disks     map[string]fileSystem // by member; the machine's where there is none
+	purge     func(key string, value []byte) bool
 }
 
 // newCluster starts n members. They are closed at the end of the test.
@@ -93,7 +94,7 @@
 	t.Helper()
 	s, err := Open(Config{
 		Name: name, Folder: filepath.Join(c.folder, name), Peers: c.addresses,
-		LogEntries: c.entries, QueuedWrites: 64, TLS: files, files: c.disks[name],
+		LogEntries: c.entries, QueuedWrites: 64, TLS: files, files: c.disks[name], Purge: c.purge,
 	}, discardLog)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/store/wal_load.go
+++ b/internal/store/wal_load.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"encoding/json"
 	"hash/crc32"
 	"io"
 	"path/filepath"
@@ -25,8 +24,8 @@
 			}
 			return &DamagedError{File: w.path, Offset: w.size}
 		}
-		var record walRecord
-		if err := json.Unmarshal(rest[recordHeaderBytes:length], &record); err != nil {
+		record, err := decodeRecord(rest[recordHeaderBytes:length])
+		if err != nil {
 			return &DamagedError{File: w.path, Offset: w.size, Err: err}
 		}
 		w.apply(record)
@@ -102,6 +101,6 @@
 
 // isRecordBody says whether a body decodes as a record.
 func isRecordBody(body []byte) bool {
-	var record walRecord
-	return json.Unmarshal(body, &record) == nil
+	_, err := decodeRecord(body)
+	return err == nil
 }
--- a/internal/store/wal_record.go
+++ b/internal/store/wal_record.go
@@ -43,6 +43,12 @@
 	return append(encoded, body...), nil
 }
 
+// decodeRecord reads the body of a record.
+func decodeRecord(body []byte) (record walRecord, err error) {
+	err = json.Unmarshal(body, &record)
+	return record, err
+}
+
 // recordLength returns the length of the first record of content, and whether content holds all of it.
 func recordLength(content []byte) (length int, complete bool) {
 	if len(content) < recordHeaderBytes {
