Store: a start that fails half way leaves nothing running

What callers saw: where raft refuses the first configuration, the daemon's start fails, or goes on without a store behind a hot restart, while raft runs on with a closed log and the member's address.

Cause: start returned the error of the bootstrap without stopping raft.

Change: raft and its connections are stopped before the error is returned.

Evidence, TestFailedStartLeavesNothingRunning before: the address is still taken: bind: address already in use. It passes three times with the race detector.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -135,11 +135,20 @@
 		return err
 	}
 	close(s.started)
+	if err := s.bootstrap(); err != nil {
+		s.stopRaft()
+		return err
+	}
+	return nil
+}
+
+// bootstrap gives a member that has no state yet the first configuration of the cluster. Each member starts from the
+// same names, so it does not matter who comes first.
+func (s *Store) bootstrap() error {
 	hasState, err := raft.HasExistingState(s.wal, s.wal, s.snapshots)
 	if err != nil || hasState {
 		return err
 	}
-	// Each member starts from the same names, so it does not matter who comes first.
 	return s.raft.BootstrapCluster(s.members()).Error()
 }
 
