Behind a hot restart the store is opened once, has the new settings, and is closed

What callers saw: after a hot restart config/NAME showed the settings of the process before; a store could be opened twice, or left running by a program that ended meanwhile.

Cause: the settings were written before the loop had the store, which drops the write; the opening in the background read the daemon's limits on its own goroutine, and nothing knew that one was under way.

Change: the loop prepares copies for the opening, keeps one at a time, takes its result over, then stores the settings; the end waits for it and closes it.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -22,8 +22,9 @@
 
 	loop           *eventloop.Loop
 	engine         *transport.Engine
-	recording      *auditRecording // nil where audit recording is off
-	store          *store.Store    // nil where the store is off or not open yet
+	recording      *auditRecording  // nil where audit recording is off
+	store          *store.Store     // nil where the store is off or not open yet
+	openingStore   chan openedStore // brings the store that is being opened; nil where none is
 	core           *router.Router
 	pool           *backend.Pool
 	watcher        *discovery.Watcher
@@ -99,11 +100,7 @@
 	counts := d.core.Counts()
 	d.log.Info("stopped serving", counterAttributes(counts)...)
 	d.recording.close(counts)
-	if d.store != nil {
-		if err := d.store.Close(); err != nil {
-			d.log.Warn("store not closed cleanly", "error", err)
-		}
-	}
+	d.closeStore()
 	d.engine.Stop()
 	d.hotRestart.shared.Close()
 }
--- a/cmd/limeladder/hot_restart.go
+++ b/cmd/limeladder/hot_restart.go
@@ -105,7 +105,7 @@
 		go debug.FreeOSMemory() // the other process starts with what this one returns to the system
 		return
 	}
-	if d.store == nil && !d.shutdown.requested {
+	if !d.shutdown.requested {
 		d.openStoreInBackground()
 	}
 }
