Shared folder: files are read up to a bound, and only regular ones

What callers saw: one file of 40 MB in the shared folder takes 95 MB of a router that has 32 to 64, and three take 178 MB; the platform ends such a router. A named pipe there keeps it from becoming ready.

Cause: the list, the known ids and suspensions were read whole, whatever their length and kind.

Known ids are written within the bound.

--- a/internal/hotrestart/folder.go
+++ b/internal/hotrestart/folder.go
@@ -5,7 +5,9 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"io"
 	"io/fs"
+	"log/slog"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -27,7 +29,9 @@
 // folder reads and writes the files. One goroutine uses it at a time.
 type folder struct {
 	path               string
-	knownEndpointsInfo fs.FileInfo // of the file that was read last; nil if none was
+	log                *slog.Logger
+	reported           map[string]bool // files that were logged as unusable
+	knownEndpointsInfo fs.FileInfo     // of the file that was read last; nil if none was
 	endpointListInfo   fs.FileInfo
 }
 
@@ -41,7 +45,18 @@
 	if err := os.MkdirAll(filepath.Join(path, suspendedFolder), 0o700); err != nil {
 		return nil, err
 	}
-	return &folder{path: path}, nil
+	return &folder{path: path, log: slog.New(slog.DiscardHandler), reported: map[string]bool{}}, nil
+}
+
+// readFile reads a file of the folder. One that can't be used is logged once.
+func (f *folder) readFile(name string, maxBytes int64) ([]byte, error) {
+	content, err := readBounded(f.file(name), maxBytes)
+	var unusable *UnusableFileError
+	if errors.As(err, &unusable) && !f.reported[name] && len(f.reported) < maxSuspendedFiles {
+		f.reported[name] = true
+		f.log.Warn("shared state not read", "file", name, "error", err)
+	}
+	return content, err
 }
 
 func (f *folder) file(name string) string { return filepath.Join(f.path, name) }
@@ -62,7 +77,7 @@
 		now.KnownEndpoints = union(now.KnownEndpoints, f.readKnownEndpoints(), maxKnown)
 	}
 	if f.changed(endpointListFile, &f.endpointListInfo) {
-		if list, err := os.ReadFile(f.file(endpointListFile)); err == nil {
+		if list, err := f.readFile(endpointListFile, maxEndpointListBytes); err == nil {
 			now.EndpointList = list
 		}
 	}
@@ -71,13 +86,13 @@
 
 // readSuspended returns the ids of the suspended endpoints, and whether their folder can be read.
 func (f *folder) readSuspended() (ids map[string]bool, ok bool) {
-	entries, err := os.ReadDir(f.file(suspendedFolder))
+	entries, err := f.suspendedFiles()
 	if err != nil {
 		return nil, false
 	}
 	ids = map[string]bool{}
 	for _, entry := range entries {
-		content, err := os.ReadFile(filepath.Join(f.path, suspendedFolder, entry.Name()))
+		content, err := f.readFile(filepath.Join(suspendedFolder, entry.Name()), maxSuspendedFileBytes)
 		if err != nil {
 			continue
 		}
@@ -89,13 +104,27 @@
 	return ids, true
 }
 
+// suspendedFiles lists the files of the suspended endpoints, up to a limit.
+func (f *folder) suspendedFiles() ([]fs.DirEntry, error) {
+	directory, err := os.Open(f.file(suspendedFolder))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = directory.Close() }() // it was only read
+	entries, err := directory.ReadDir(maxSuspendedFiles)
+	if errors.Is(err, io.EOF) { // there is none
+		return nil, nil
+	}
+	return entries, err
+}
+
 func (f *folder) readDrained() bool {
 	_, err := os.Stat(f.file(drainedFile))
 	return err == nil
 }
 
 func (f *folder) readKnownEndpoints() []string {
-	content, err := os.ReadFile(f.file(knownEndpointsFile))
+	content, err := f.readFile(knownEndpointsFile, maxKnownEndpointsBytes)
 	if err != nil {
 		return nil
 	}
@@ -106,6 +135,18 @@
 	return ids
 }
 
+// encodeKnownEndpoints encodes ids for the file of the known endpoints. The oldest are left out where there are more
+// than can be read again.
+func encodeKnownEndpoints(ids []string) ([]byte, error) {
+	for {
+		content, err := json.Marshal(ids)
+		if err != nil || len(content) <= maxKnownEndpointsBytes {
+			return content, err
+		}
+		ids = ids[(len(ids)+1)/2:]
+	}
+}
+
 // changed says whether a file is another one than when it was last asked.
 func (f *folder) changed(name string, last *fs.FileInfo) bool {
 	info, err := os.Stat(f.file(name))
--- a/internal/hotrestart/shared_state.go
+++ b/internal/hotrestart/shared_state.go
@@ -1,7 +1,6 @@
 package hotrestart
 
 import (
-	"encoding/json"
 	"log/slog"
 	"maps"
 	"path/filepath"
@@ -63,6 +62,7 @@
 		return s, s.seen
 	}
 	s.folder = opened
+	s.folder.log = log
 	s.startedAlone = s.locks.serving.tryAcquire()
 	if s.startedAlone {
 		s.folder.removeTemporaryFiles()
@@ -135,7 +135,7 @@
 		}
 		defer s.locks.edit.release()
 		all := union(s.folder.readKnownEndpoints(), ids, s.maxKnown)
-		content, err := json.Marshal(all)
+		content, err := encodeKnownEndpoints(all)
 		if err == nil && s.setFile(knownEndpointsFile, content, true) {
 			s.seen.KnownEndpoints = union(s.seen.KnownEndpoints, ids, s.maxKnown)
 		}
