A shutdown no longer hangs on an inherited socket that another holder made blocking

Cause: O_NONBLOCK is shared by all holders of the socket. The platform's side that passes it on, as os/exec does, makes it blocking; an accept in that window waits in the system, and Listener.Close on the event loop waits for the accept.

Evidence: a dump of the hung process, the loop in poll.(*FD).Close and the acceptor in accept4. A bound by SO_RCVTIMEO was tried first and did not hold on MPTCP sockets.

--- a/cmd/limeladder/shutdown.go
+++ b/cmd/limeladder/shutdown.go
@@ -1,6 +1,10 @@
 package main
 
-import "time"
+import (
+	"time"
+
+	"limeladder/internal/transport"
+)
 
 // shutdownState is how far the graceful shutdown has come.
 type shutdownState struct {
@@ -25,16 +29,25 @@
 	if d.listeners.inheritedSocket {
 		acceptTime = 0 // the next process has the same socket and accepts what comes from now on
 	}
-	d.loop.AfterFunc(acceptTime, func() {
-		for _, listener := range d.listeners.open {
-			listener.socket.Close()
-		}
-		// Connections that were accepted before are still in the loop's queue and come first.
-		d.loop.Post(func() { d.finishConnections(deadline) })
-	})
+	d.loop.AfterFunc(acceptTime, func() { d.closeListeners(func() { d.finishConnections(deadline) }) })
 	d.loop.AfterFunc(d.limits.Shutdown.MaxTime, d.loop.Stop)
 }
 
+// closeListeners stops accepting, on a goroutine of its own because an accept may be under way, and then calls done on the
+// loop. Connections that were accepted before are in the loop's queue and come first.
+func (d *daemon) closeListeners(done func()) {
+	var sockets []*transport.Listener
+	for _, listener := range d.listeners.open {
+		sockets = append(sockets, listener.socket)
+	}
+	go func() {
+		for _, socket := range sockets {
+			socket.Close()
+		}
+		d.loop.Post(done)
+	}()
+}
+
 // finishConnections closes connections without a request, once no new ones come. Clients send on every connection that
 // stays open, so requests of these have to be answered by the deadline.
 func (d *daemon) finishConnections(deadline time.Duration) {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -2,12 +2,9 @@
 
 import (
 	"errors"
-	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -102,7 +99,9 @@
 // Addr is the address that it listens at.
 func (l *Listener) Addr() net.Addr { return l.listener.Addr() }
 
-// Close stops accepting. What waits in the system's queue is left to whoever else holds the socket.
+// Close stops accepting. What waits in the system's queue is left to whoever else holds the socket. It waits for an
+// accept that is under way, so it is not for the loop's goroutine. All connections that were accepted are posted to the
+// loop before it returns.
 func (l *Listener) Close() {
 	l.listener.Close() // never a shutdown, which would end it for the other process too
 	l.update(func() {
@@ -137,39 +136,3 @@
 	l.open++
 	return !l.closed
 }
-
-// Inherit makes a listener of a socket that this process was given and that others hold too. addr is where it should
-// listen.
-func Inherit(descriptor int, addr string) (net.Listener, error) {
-	file := os.NewFile(uintptr(descriptor), "listener")
-	if file == nil {
-		return nil, fmt.Errorf("%d is no descriptor", descriptor)
-	}
-	defer func() { _ = file.Close() }() // the listener has a descriptor of its own
-	listens, err := syscall.GetsockoptInt(descriptor, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
-	if err != nil || listens == 0 {
-		return nil, fmt.Errorf("descriptor %d is no socket that listens", descriptor)
-	}
-	listener, err := net.FileListener(file)
-	if err != nil {
-		return nil, err
-	}
-	want, err := net.ResolveTCPAddr("tcp", addr)
-	if err != nil || !listensAt(listener, want) {
-		listener.Close()
-		return nil, fmt.Errorf("descriptor %d listens at %s, not at %s", descriptor, listener.Addr(), addr)
-	}
-	return listener, nil
-}
-
-// listensAt reports whether a listener has the address and port that are wanted, as far as they are given.
-func listensAt(listener net.Listener, want *net.TCPAddr) bool {
-	got, ok := listener.Addr().(*net.TCPAddr)
-	if !ok {
-		return false
-	}
-	if want.Port != 0 && want.Port != got.Port {
-		return false
-	}
-	return want.IP == nil || want.IP.Equal(got.IP)
-}
