--- a/cmd/limeladder/router_process_test.go
+++ b/cmd/limeladder/router_process_test.go
@@ -28,6 +28,7 @@
 	address      string
 	adminAddress string
 	cmd          *exec.Cmd
+	socket       *os.File // that processes inherit, nil = none
 	log          *bytes.Buffer
 	watchEvents  chan bool      // each value lets one watch return the endpoint list
 	primary      *testserver.DB // s1, until a test makes the other one the primary
@@ -143,6 +144,7 @@
 	if err != nil {
 		r.test.Fatal(err)
 	}
+	r.socket = socket
 	r.address = listener.Addr().String()
 	r.log = &bytes.Buffer{}
 	return func() *exec.Cmd {
--- a/cmd/limeladder/shutdown.go
+++ b/cmd/limeladder/shutdown.go
@@ -33,8 +33,8 @@
 	d.loop.AfterFunc(d.limits.Shutdown.MaxTime, d.loop.Stop)
 }
 
-// closeListeners stops accepting, on a goroutine of its own because an accept may be under way, and then calls done on the
-// loop. Connections that were accepted before are in the loop's queue and come first.
+// closeListeners stops accepting, on a goroutine of its own because an accept may be under way, and then calls done on
+// the loop. Connections that were accepted before are in the loop's queue and come first.
 func (d *daemon) closeListeners(done func()) {
 	var sockets []*transport.Listener
 	for _, listener := range d.listeners.open {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -65,14 +65,18 @@
 	w.snapshotDue = false
 }
 
-// MoveTo goes on at another address, with the full list first. What the old address may still answer is ignored.
+// MoveTo goes on at another address. What the old address may still answer is ignored. The full list is asked for first,
+// but in a fleet that starts from the lists that it knows: there all routers move at once, and each would take two turns
+// at discovery, for the list and for the watch behind it, and wait for them while endpoints begin to drain.
 func (w *Watcher) MoveTo(address string) {
 	if address == w.address {
 		return
 	}
 	w.address = address
-	w.snapshotDue = true
-	w.version = 0
+	if !w.limits.Discovery.ResumeFromKnown {
+		w.snapshotDue = true
+		w.version = 0
+	}
 	w.abandonCall()
 	w.Poll()
 }
--- a/internal/testserver/client.go
+++ b/internal/testserver/client.go
@@ -12,6 +12,7 @@
 const (
 	maxResponse     = 8 << 20
 	responseTimeout = 20 * time.Second
+	startupTimeout  = 3 * time.Second // of TryDial, until anything comes
 	readBufferSize  = 4096
 )
 
@@ -38,6 +39,36 @@
 	return client
 }
 
+// TryDial is Dial at a router that may take no clients: it returns an error where the startup has no end.
+func TryDial(tb testing.TB, addr string) (*Client, error) {
+	tb.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	tb.Cleanup(func() { conn.Close() })
+	client := &Client{tb: tb, conn: conn, reader: pgwire.NewReader(maxResponse, 0)}
+	if err := client.Write(pgwire.AppendStartup(nil, "user", "portal", "database", "crm")); err != nil {
+		return nil, err
+	}
+	// A connection may wait in the queue of a socket that no process accepts from any more.
+	conn.SetReadDeadline(time.Now().Add(startupTimeout))
+	var first [1]byte
+	if _, err := conn.Read(first[:]); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	client.reader.Feed(first[:])
+	if answer := client.Until('Z'); answer.Ended || answer.Code != "" {
+		conn.Close()
+		return nil, errNotWelcome
+	}
+	return client, nil
+}
+
+// errNotWelcome says that the router has refused a connection or closed it.
+var errNotWelcome = errors.New("not welcome")
+
 // Send writes p.
 func (c *Client) Send(p []byte) {
 	c.tb.Helper()
--- a/internal/transport/inherit.go
+++ b/internal/transport/inherit.go
@@ -9,8 +9,8 @@
 )
 
 // inheritedListener accepts on a socket that other processes hold too. Whether it blocks is shared by all of them: one
-// that passes the socket on may make it blocking at any time. An accept that blocks in the system would hold up the close
-// of the listener and with it the end of the process, so each accept makes the socket non-blocking first.
+// that passes the socket on may make it blocking at any time. An accept that blocks in the system would hold up the
+// close of the listener and with it the end of the process, so each accept makes the socket non-blocking first.
 type inheritedListener struct {
 	file *os.File
 	raw  syscall.RawConn
--- a/internal/transport/inherit_test.go
+++ b/internal/transport/inherit_test.go
@@ -11,8 +11,8 @@
 	"limeladder/internal/eventloop"
 )
 
-// Guards against a shutdown that hangs where another holder of the socket has made it blocking, as Go's os/exec does when
-// it passes a socket on: an accept that is under way then waits in the system, and so does the close of the listener.
+// Guards against a shutdown that hangs where another holder of the socket has made it blocking, as Go's os/exec does
+// when it passes a socket on: an accept that is under way then waits in the system, and so does the listener's close.
 func TestCloseOfAnInheritedSocketThatBlocks(t *testing.T) {
 	first, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
