--- a/balance/health_check.go
+++ b/balance/health_check.go
@@ -9,8 +9,7 @@
 const (
 	// healthCheckInterval is the least interval between two regular health checks of an endpoint.
 	healthCheckInterval = 100 * time.Millisecond
-	// healthCheckSpend is the part of a request's weight that may be spent on health checks: half of it finds too
-	// little, twice as much costs more than it brings.
+	// healthCheckSpend is the part of a request's weight that may be spent on health checks.
 	healthCheckSpend = 0.06
 	// minHealthCheckPrice bounds what a request may earn where health checks are nearly free.
 	minHealthCheckPrice = healthCheckSpend / 4
