--- a/internal/sitefailover/recovery_ramp.go
+++ b/internal/sitefailover/recovery_ramp.go
@@ -95,8 +95,8 @@
 // SiteStateChanged takes a transition of a site. The ramp starts when a site recovers that has flapped, and stops when
 // it is lost or healthy.
 //
-// A first recovery is not paced, because slow start bounds each endpoint while it is cold. A site that has flapped is not
-// to be trusted so soon.
+// A first recovery is not paced, because slow start bounds each endpoint while it is cold. A site that has flapped is
+// not to be trusted so soon.
 func (r *RecoveryRamp) SiteStateChanged(now time.Duration, site string, to SiteState, flaps int) {
 	switch to {
 	case SiteLost:
