Tests of router processes listen on loopback hosts of their own

What was seen: beside load and three copies of itself, TestRouterOutlivesItsLog failed with "never: ready" and single answers 53300.

Cause, from a trace with the router's log kept: "listen tcp 127.0.0.1:41021: bind: address already in use". freeAddress let a port go before the router bound it, on an address where every outgoing connection of the machine takes ports; a request then met another test's router, or none.

Change: freeAddress picks a random host of 127.0.0.0/8, as the multi-process tests do. No check or bound is changed.

--- a/cmd/limeladder/main_test.go
+++ b/cmd/limeladder/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -146,10 +147,12 @@
 	}
 }
 
-// freeAddress returns an address on loopback that nothing listens at.
+// freeAddress returns an address on loopback that nothing listens at, on a host that no other test uses: a port that is
+// free now on one that all share may be the local end of somebody's connection before the router has bound it.
 func freeAddress(tb testing.TB) string {
 	tb.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	host := fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
+	listener, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		tb.Fatal(err)
 	}
