Review case 2: long values read slowly take a router over its memory

Cause: the bytes of streamed values are bounded for each connection, and nothing bounds their sum. Change: the case's claim and script. Nothing is fixed.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,7 +27,8 @@
 type play func(r *rig) (breaks []string, err error)
 
 var cases = map[string]play{
-	"stall": playStall,
+	"memory": playMemory,
+	"stall":  playStall,
 }
 
 func main() {
