Review case 3: a session's read misses its own write after a replica has joined

Cause: Balancer.expire forgets a session's commit once the endpoints that are ready then have applied it; one that joins later is behind it. Change: the case's claim and script. Nothing is fixed.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 
 var cases = map[string]play{
 	"memory": playMemory,
+	"stale":  playStale,
 	"stall":  playStall,
 }
 
