--- a/review/rig/discovery.go
+++ b/review/rig/discovery.go
@@ -57,10 +57,16 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/endpoints", d.answer)
 	d.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = d.server.Serve(listener) }() // it ends with the program
+	go func() { _ = d.server.Serve(listener) }() // it ends with stop, or with the program
 	return d, nil
 }
 
+// stop takes discovery down: calls are refused and watches end.
+func (d *discovery) stop() {
+	d.record.note("discovery goes down")
+	_ = d.server.Close() // the listener is closed whatever it returns
+}
+
 // set changes entries or adds them.
 func (d *discovery) set(entries ...entry) {
 	d.mu.Lock()
--- a/review/rig/machine.go
+++ b/review/rig/machine.go
@@ -57,6 +57,12 @@
 	write                 bool
 }
 
+// arrival is a request that has come whole to a db machine.
+type arrival struct {
+	request
+	at time.Time
+}
+
 // machine is a stand-in for a db machine: it speaks simple queries as the protocol page says.
 type machine struct {
 	id, zone string
@@ -78,6 +84,7 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	long     []byte // see longRow
+	arrivals []arrival
 }
 
 // startMachine starts a db machine and adds it to those that end with the run.
@@ -136,6 +143,13 @@
 
 func (m *machine) primary() bool { return m.lagBehind == nil }
 
+// received returns the requests that have come to the machine so far.
+func (m *machine) received() []arrival {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]arrival(nil), m.arrivals...)
+}
+
 // readMessage reads one message of the wire protocol.
 func readMessage(r io.Reader) (kind byte, body []byte, err error) {
 	var head [5]byte
@@ -258,6 +272,9 @@
 		m.record.note("%s got a statement that no client sent: %.80q", m.id, sql)
 		return m.send(conn, m.appendReady(appendError(nil, "08P01", "no such statement"), position))
 	}
+	m.mu.Lock()
+	m.arrivals = append(m.arrivals, arrival{request: q, at: time.Now()})
+	m.mu.Unlock()
 	m.record.note("%s got %s (%s, key %s, d=%d), its position is %d ms behind", m.id, q.id, q.class, q.key, q.left,
 		time.Since(position).Milliseconds())
 	if q.write && !m.primary() {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,14 @@
 	"memory": playMemory,
 	"stale":  playStale,
 	"stall":  playStall,
+
+	// Further breaks that the report tells of.
+	"behind":  playBehind,
+	"drain":   playDrain,
+	"gone":    playGone,
+	"store":   playStore,
+	"stream":  playStream,
+	"upgrade": playUpgrade,
 }
 
 func main() {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -22,6 +22,10 @@
 	runLine string // the platform's command for one router, from the deploy file
 	memory  int    // MB of a router
 
+	operator string   // where operators call, "" is off
+	socket   *os.File // the clients' socket, if the platform holds it
+	listen   string   // its address
+
 	mu       sync.Mutex
 	routers  []*routerProcess
 	machines []*machine
@@ -142,8 +146,8 @@
 	if err := os.WriteFile(path, encoded, 0o600); err != nil {
 		return nil, err
 	}
-	tmp := filepath.Join(folder, "tmp")
-	if err := os.Mkdir(tmp, 0o700); err != nil {
+	tmp := filepath.Join(r.folder, cfg.Name+".tmp")
+	if err := os.MkdirAll(tmp, 0o700); err != nil {
 		return nil, err
 	}
 	output, err := os.Create(filepath.Join(folder, "log"))
@@ -157,6 +161,10 @@
 		"EDGE_LISTEN=" + cfg.Listen, "EDGE_DISCOVERY=" + cfg.Discovery, "EDGE_OPERATOR=" + cfg.Operator,
 	}, extraEnv...)
 	cmd.Stdout, cmd.Stderr = output, output
+	if r.socket != nil {
+		cmd.ExtraFiles = []*os.File{r.socket} // descriptor 3
+		cmd.Env = append(cmd.Env, "EDGE_INHERITED_FD=3")
+	}
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
@@ -199,6 +207,21 @@
 	_ = p.cmd.Process.Signal(s) // it may have ended already
 }
 
+// terminate tells the router to end.
+func (p *routerProcess) terminate() { p.signal(syscall.SIGTERM) }
+
+// holdSocket opens the clients' socket on behalf of the platform, for routers that inherit it.
+func (r *rig) holdSocket() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer listener.Close() // the file below is a descriptor of its own
+	r.listen = listener.Addr().String()
+	r.socket, err = listener.(*net.TCPListener).File()
+	return err
+}
+
 // kill ends the router if it still runs.
 func (p *routerProcess) kill() {
 	select {
@@ -214,6 +237,7 @@
 type deployment struct {
 	discovery *discovery
 	router    *routerProcess
+	config    routerConfig
 }
 
 // startDeployment starts db machines, discovery and a router that goes by the settings.
@@ -229,16 +253,19 @@
 	if err != nil {
 		return nil, err
 	}
-	address, err := freeAddress()
-	if err != nil {
-		return nil, err
+	address := r.listen
+	if address == "" {
+		if address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	cfg := routerConfig{
+		Name: "n1", Listen: address, Operator: r.operator, Discovery: d.address, Seed: "8c1f30d27a5be964",
+		Known: d.list(0, true), Settings: settings,
 	}
-	router, err := r.startRouter(routerConfig{
-		Name: "n1", Listen: address, Discovery: d.address, Seed: "8c1f30d27a5be964", Known: d.list(0, true),
-		Settings: settings,
-	})
+	router, err := r.startRouter(cfg)
 	if err != nil {
 		return nil, err
 	}
-	return &deployment{discovery: d, router: router}, nil
+	return &deployment{discovery: d, router: router, config: cfg}, nil
 }
