Review: a slow collector that dies loses records of final answers

Cause: messages count as delivered once the collector's system has acknowledged them; nothing of them is sent again with the default repeat = 0, even where there is a spool. Change: rig plays audit, beside the other further breaks.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,6 +32,7 @@
 	"stall":  playStall,
 
 	// Further breaks that the report tells of.
+	"audit":   playAudit,
 	"behind":  playBehind,
 	"drain":   playDrain,
 	"gone":    playGone,
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -22,6 +22,7 @@
 	runLine string // the platform's command for one router, from the deploy file
 	memory  int    // MB of a router
 
+	env      []string // of all routers
 	operator string   // where operators call, "" is off
 	socket   *os.File // the clients' socket, if the platform holds it
 	listen   string   // its address
@@ -263,7 +264,7 @@
 		Name: "n1", Listen: address, Operator: r.operator, Discovery: d.address, Seed: "8c1f30d27a5be964",
 		Known: d.list(0, true), Settings: settings,
 	}
-	router, err := r.startRouter(cfg)
+	router, err := r.startRouter(cfg, r.env...)
 	if err != nil {
 		return nil, err
 	}
