--- a/review/rig/further.go
+++ b/review/rig/further.go
@@ -254,3 +254,47 @@
 	}
 	return own, nil
 }
+
+// playCopy: one answer in ten is followed by a second copy, 5 ms later. The pages say "directly behind", so this is no
+// case: it shows what the router's rest of 2 ms after an answer rests on.
+func playCopy(r *rig) (breaks []string, err error) {
+	s1, s2 := twoMachines(func(request) (time.Duration, int) { return 5 * time.Millisecond, 0 })
+	if r.trouble {
+		s1.copyPause, s2.copyPause = 5*time.Millisecond, 5*time.Millisecond
+	}
+	at, err := r.startDeployment(settings("client", viewClass, reportClass, jobClass), s1, s2)
+	if err != nil {
+		return nil, err
+	}
+	seen := &breakList{}
+	end := time.Now().Add(5 * time.Second)
+	var running sync.WaitGroup
+	for range 8 {
+		c, err := dialClient(at.router.address)
+		if err != nil {
+			return nil, err
+		}
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			defer c.close()
+			for time.Now().Before(end) {
+				id := nextID()
+				value := "v" + id
+				sql := writeStatement(id, jobClass.name, jobClass.limit, furtherCell, "k"+id, value)
+				a, err := c.ask(sql, 4*time.Second)
+				r.record.note("client gets for %s: %v, %v", id, a, err)
+				if err != nil {
+					return
+				}
+				if a.kind == "served" && a.value != value {
+					seen.add("%s is served %q", id, a.value)
+				}
+				time.Sleep(3 * time.Millisecond)
+			}
+		}()
+	}
+	running.Wait()
+	r.record.note("%d requests, %d of them with the value of another", requestCount.Load(), len(seen.all))
+	return seen.all, nil
+}
--- a/review/rig/machine.go
+++ b/review/rig/machine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"regexp"
 	"strconv"
@@ -77,6 +78,8 @@
 	// pieces, if set, writes a value of over 64 KiB in pieces of a size with a pause behind each.
 	pieceBytes int
 	piecePause time.Duration
+	// copyPause, if set, is the time between an answer and a second copy of it, which one in ten answers is followed by.
+	copyPause time.Duration
 	// startupDelay is how long a new connection takes to come up.
 	startupDelay func() time.Duration
 
@@ -303,8 +306,13 @@
 	}
 	m.record.note("%s ran %s: %.24q", m.id, q.id, value)
 	err := m.send(conn, p)
+	ready := m.appendReady(nil, position)
 	if err == nil {
-		err = m.send(conn, m.appendReady(nil, position))
+		err = m.send(conn, ready)
+	}
+	if err == nil && m.copyPause > 0 && rand.IntN(10) == 0 {
+		time.Sleep(m.copyPause)
+		err = m.send(conn, append(p, ready...))
 	}
 	if err != nil {
 		m.record.note("%s could not send the answer to %s: %v", m.id, q.id, err)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -34,6 +34,7 @@
 	// Further breaks that the report tells of.
 	"audit":   playAudit,
 	"behind":  playBehind,
+	"copy":    playCopy,
 	"drain":   playDrain,
 	"gone":    playGone,
 	"store":   playStore,
