Review: a second successor goes by a stale list; readiness asked of each process

Besides, the plays on an inherited socket took the old process's answer for the new one's and ended the old one too early. Change: rig plays handover; where two processes share the clients' socket, readiness is asked at the operators' address.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,14 +32,15 @@
 	"stall":  playStall,
 
 	// Further breaks that the report tells of.
-	"audit":   playAudit,
-	"behind":  playBehind,
-	"copy":    playCopy,
-	"drain":   playDrain,
-	"gone":    playGone,
-	"store":   playStore,
-	"stream":  playStream,
-	"upgrade": playUpgrade,
+	"audit":    playAudit,
+	"behind":   playBehind,
+	"copy":     playCopy,
+	"drain":    playDrain,
+	"gone":     playGone,
+	"handover": playHandover,
+	"store":    playStore,
+	"stream":   playStream,
+	"upgrade":  playUpgrade,
 }
 
 func main() {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -125,15 +126,22 @@
 
 // routerProcess is one router, started as the platform starts it.
 type routerProcess struct {
-	rig     *rig
-	name    string
-	address string
-	cmd     *exec.Cmd
-	ended   chan struct{}
+	rig      *rig
+	name     string
+	address  string
+	operator string // "" is none
+	cmd      *exec.Cmd
+	ended    chan struct{}
 }
 
 // startRouter starts a router and waits until it takes clients.
 func (r *rig) startRouter(cfg routerConfig, extraEnv ...string) (*routerProcess, error) {
+	if r.socket != nil { // each process of a router has an operators' address of its own
+		var err error
+		if cfg.Operator, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
 	cfg.Limits = map[string]any{"cores": 1.0, "memory_mb": r.memory, "sockets": 1024}
 	folder, err := os.MkdirTemp(r.folder, cfg.Name)
 	if err != nil {
@@ -169,7 +177,9 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	p := &routerProcess{rig: r, name: cfg.Name, address: cfg.Listen, cmd: cmd, ended: make(chan struct{})}
+	p := &routerProcess{
+		rig: r, name: cfg.Name, address: cfg.Listen, operator: cfg.Operator, cmd: cmd, ended: make(chan struct{}),
+	}
 	r.mu.Lock()
 	r.routers = append(r.routers, p)
 	r.mu.Unlock()
@@ -186,22 +196,35 @@
 	return p, nil
 }
 
-// waitReady asks the router with empty queries until it says that it takes clients, as the front does.
+// waitReady asks the router until it says that it takes clients.
 func (p *routerProcess) waitReady() error {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		c, err := dialClient(p.address)
-		if err != nil {
-			continue
-		}
-		ready := c.emptyQuery()
-		c.close()
-		if ready {
+		if p.saysReady() {
 			return nil
 		}
 	}
 	return fmt.Errorf("router %s did not take clients within 10 s", p.name)
 }
 
+// saysReady asks with an empty query, as the front does. Where two processes may share the clients' socket, it asks at
+// the operators' address, which each process has for itself.
+func (p *routerProcess) saysReady() bool {
+	if p.rig.socket == nil {
+		c, err := dialClient(p.address)
+		if err != nil {
+			return false
+		}
+		defer c.close()
+		return c.emptyQuery()
+	}
+	answer, err := http.Get("http://" + p.operator + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
 // signal sends a signal to the router alone.
 func (p *routerProcess) signal(s syscall.Signal) {
 	p.rig.record.note("router %s gets %v", p.name, s)
