Review case 2: values of 1 MiB, so that a slower machine can play it

Cause: without its disruption the case passed on 400 MB a second; on a slower machine clients would have read slowly there too, and the case would have failed without its disruption. Change: values of 1 MiB, read in about 4 s; rule, bound and number of clients as they were.

--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -15,11 +15,11 @@
 	memoryCell = 2
 	memoryMB   = 64
 
-	// Clients ask for values of the greatest length that the pages allow, 100 a second, and spend seconds reading them.
+	// Clients ask for long values (the pages allow up to 4 MiB), 100 a second, and spend about 4 s reading each.
 	memoryClients = 280
-	memoryValue   = 4 << 20
+	memoryValue   = 1 << 20
 	clientsApart  = 10 * time.Millisecond
-	slowBytes     = 48 << 10
+	slowBytes     = 24 << 10
 	slowPause     = 100 * time.Millisecond
 
 	platformLooks = 20 * time.Millisecond
