Incomplete messages end their wait for memory, and a stop is judged by arrival

Cause: the bytes of incomplete messages count towards Frontend.BufferedBytes. Above it Conn.accountInput paused every connection with unparsed bytes, among them those that occupied the memory, and short requests of which half had come.

Change: a connection is read up to ReservedInputBytes whatever others occupy. Messages that have waited for memory for MemoryWaitTimeout (250 ms) are truncated until there is some, the longest without data first; the rest is read into nothing and the request rejected with 53300 in its order, no connection is closed. Stops are judged by when bytes arrived at the machine. A refused reservation starts the same wait: messages that fill the memory just up to the limit made the router reject all else while they trickled. Both protocol handlers know truncated messages.

--- a/internal/frontend/accounting.go
+++ b/internal/frontend/accounting.go
@@ -4,12 +4,16 @@
 type memoryUse struct {
 	bufferedBytes  int // reserved for clients, or received and not parsed yet
 	pipelinedBytes int // received from clients that still have a response pending
+	refusedBytes   int // largest reservation that was refused since the last sweep
 }
 
 // used returns how many bytes count towards the limit. Pipelined bytes count for at most half of the limit, so that
 // they can't displace clients that send one request at a time.
 func (m *memoryUse) used(limit int) int { return m.bufferedBytes + min(m.pipelinedBytes, limit/2) }
 
+// exhausted reports whether the limit is exceeded, or would be with a reservation that was refused.
+func (m *memoryUse) exhausted(limit int) bool { return m.used(limit)+m.refusedBytes > limit }
+
 // byteAccount is the memory in use by one connection.
 type byteAccount struct {
 	total              *memoryUse
@@ -47,8 +51,14 @@
 
 // Reserve counts bytes to be kept for the client, and reports whether the memory limit permits them.
 func (c *Conn) Reserve(bytes int) bool {
+	if c.lifetime.closed {
+		return false
+	}
 	limit := c.frontend.limits.Frontend.BufferedBytes
-	if c.lifetime.closed || c.frontend.memory.used(limit)+bytes > limit {
+	memory := &c.frontend.memory
+	if memory.used(limit)+bytes > limit {
+		memory.refusedBytes = max(memory.refusedBytes, bytes)
+		c.frontend.sweepSoon() // the sweep rejects incomplete messages that occupy the memory
 		return false
 	}
 	c.memory.add(bytes)
@@ -64,7 +74,7 @@
 
 // accountInput counts the bytes that are not parsed yet, and pauses reading when they are too many. It limits the
 // memory for clients that keep sending without reading responses, and for all clients together: they wait until memory
-// is available.
+// is available, or until rejectWaitingMessages ends the wait.
 func (c *Conn) accountInput() {
 	if c.lifetime.closed {
 		return
@@ -72,15 +82,13 @@
 	pipelined := c.owesResponse() || c.output.backpressured
 	c.memory.setUnparsed(c.input.reader.Buffered(), pipelined)
 	c.trackPartialMessage(pipelined)
-	full := c.memoryExhausted(pipelined)
-	if full && c.input.partial() {
-		c.input.lastDataAt = c.frontend.eventLoop.Now() // reading is paused, so the client has not stalled
-	}
-	tooFarAhead := pipelined && c.memory.unparsedBytes > c.frontend.limits.Frontend.PipelinedBytes
-	c.socket.SetPaused(full || tooFarAhead)
-	if full {
+	waits := c.memoryExhausted()
+	if waits {
+		c.input.trackMemoryWait(c.frontend.eventLoop.Now())
 		c.frontend.sweepSoon() // the sweep checks whether memory is available again
 	}
+	tooFarAhead := pipelined && c.memory.unparsedBytes > c.frontend.limits.Frontend.PipelinedBytes
+	c.socket.SetPaused(waits || tooFarAhead)
 }
 
 // trackPartialMessage records when the first part of an incomplete message arrived. Time spent waiting for an earlier
@@ -94,12 +102,17 @@
 	}
 }
 
-// memoryExhausted reports whether reading from the client has to stop because the memory limit is reached.
-func (c *Conn) memoryExhausted(pipelined bool) bool {
-	if c.memory.unparsedBytes == 0 {
+// memoryExhausted reports whether reading from the client has to stop because the memory limit is reached. It never
+// stops at ReservedInputBytes or less: a short request must be read and answered, whatever other clients occupy. A
+// startup message is limited to StartupBytes.
+func (c *Conn) memoryExhausted() bool {
+	lim := &c.frontend.limits.Frontend
+	if !c.lifetime.started || c.memory.unparsedBytes <= lim.ReservedInputBytes {
 		return false
 	}
-	limit := c.frontend.limits.Frontend.BufferedBytes
 	memory := &c.frontend.memory
-	return memory.used(limit) > limit || pipelined && memory.pipelinedBytes > limit/2
+	if memory.exhausted(lim.BufferedBytes) {
+		return true
+	}
+	return c.memory.countedAsPipelined && memory.pipelinedBytes > lim.BufferedBytes/2
 }
--- a/internal/frontend/errors.go
+++ b/internal/frontend/errors.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// CapacityError returns the error of a request that has not run because there is no memory to keep it.
+func CapacityError() pgwire.Error { return RejectionError(capacityRetryAfter) }
+
 // FailureError returns the error of a request that may have run.
 func FailureError(reason string) pgwire.Error {
 	return pgwire.Error{Code: pgwire.UnknownOutcome, Message: "failed: " + reason}
@@ -67,7 +70,7 @@
 // InvalidRequestError returns the error of a request that was not accepted for the reason given by Conn.Submit.
 func InvalidRequestError(err error) pgwire.Error {
 	if errors.Is(err, errNoCapacity) {
-		return RejectionError(capacityRetryAfter)
+		return CapacityError()
 	}
 	return pgwire.Error{Code: pgwire.SyntaxError, Message: err.Error()}
 }
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -10,13 +10,16 @@
 func (f *Frontend) sweep() {
 	now := f.eventLoop.Now()
 	unreadBytes := f.closeOverdue(now)
+	f.rejectWaitingMessages(now)
+	inputWaits := f.resumeInput()
+	f.memory.refusedBytes = 0
 	f.closeDrained(now)
 	if f.drain.closesIdle {
 		f.closeIdle()
 	}
 	f.evictIdle(now)
 	f.sweepCount++
-	f.nextSweep = f.eventLoop.AfterFunc(f.sweepInterval(unreadBytes > 0), f.sweep)
+	f.nextSweep = f.eventLoop.AfterFunc(f.sweepInterval(unreadBytes > 0 || inputWaits), f.sweep)
 }
 
 // closeOverdue closes the connections that have exceeded a timeout, and returns how many bytes of responses the other
@@ -30,12 +33,9 @@
 			continue
 		}
 		unreadBytes += c.output.unsentBytes
-		switch {
-		case unreadBytes > lim.BufferedBytes && c.hasUnreadResponse():
+		if unreadBytes > lim.BufferedBytes && c.hasUnreadResponse() {
 			// Many clients that do not read their responses exhaust the memory where one alone does not.
 			c.closeWithError(errUnreadLimit)
-		case c.memory.unparsedBytes > 0:
-			c.accountInput() // memory may be available again
 		}
 	}
 	return unreadBytes
@@ -44,10 +44,11 @@
 // sweepInterval returns the time to the next sweep. With a fixed short interval every idle router of a fleet would wake
 // twenty times a second, which is expensive on a small share of a core. When no connection waits for capacity and no
 // drain has begun, the first timeout that a sweep enforces is seconds away: a quarter of the shortest one is soon
-// enough. Unread responses need the short interval, since their total is limited at each sweep.
-func (f *Frontend) sweepInterval(unread bool) time.Duration {
+// enough. Unread responses need the short interval, since their total is limited at each sweep, and so do messages that
+// wait for memory.
+func (f *Frontend) sweepInterval(frequent bool) time.Duration {
 	lim := &f.limits.Frontend
-	if unread || f.needsFrequentSweeps() {
+	if frequent || f.needsFrequentSweeps() {
 		return lim.SweepInterval
 	}
 	shortest := min(
--- a/internal/frontend/exclusive_request.go
+++ b/internal/frontend/exclusive_request.go
@@ -26,7 +26,7 @@
 	}
 	statementBytes := c.input.messageBytes
 	if !c.Reserve(statementBytes) {
-		c.frontend.router.RecordRejection(request, capacityRetryAfter)
+		c.RecordCapacityRejection(request)
 		return errNoCapacity
 	}
 	c.exclusive.id, err = c.frontend.router.Accept(request, client)
--- a/internal/frontend/extendedquery/session.go
+++ b/internal/frontend/extendedquery/session.go
@@ -5,6 +5,7 @@
 
 	"limeladder/internal/frontend"
 	"limeladder/internal/pgwire"
+	"limeladder/internal/requestcomment"
 )
 
 // Classes reports which request classes write.
@@ -71,6 +72,9 @@
 }
 
 func (s *session) dispatch(message pgwire.Message) error {
+	if message.Truncated && s.rejectTruncated(message) {
+		return nil
+	}
 	switch message.Type {
 	case 'Q':
 		return s.handleSimpleQuery(message.Body)
@@ -101,6 +105,9 @@
 // belongsToPending reports whether a message belongs to the pending operation: the Execute of the portal that the
 // operation describes, or a Close.
 func (s *session) belongsToPending(message pgwire.Message) bool {
+	if message.Truncated {
+		return false
+	}
 	switch message.Type {
 	case 'C':
 		return len(s.pending.closeResponses) < maxBufferedBytes
@@ -130,7 +137,8 @@
 	if isSync {
 		s.pending.syncReceived = true
 	} else {
-		s.deferredMessage = &pgwire.Message{Type: message.Type, Body: bytes.Clone(message.Body)}
+		message.Body = bytes.Clone(message.Body)
+		s.deferredMessage = &message
 	}
 	s.submitPending()
 }
@@ -145,6 +153,30 @@
 	s.skipToSync = true
 }
 
+// rejectTruncated answers a message of which only the beginning was kept, because memory is short. It reports whether
+// it did: a message whose body is not used is handled like any other.
+func (s *session) rejectTruncated(message pgwire.Message) bool {
+	switch message.Type {
+	case 'Q':
+		if comment, err := requestcomment.Parse(string(message.Body)); err == nil {
+			s.conn.RecordCapacityRejection(newRequest(comment))
+		}
+		s.rejectForCapacity()
+		s.sync()
+	case 'P', 'B', 'D', 'E', 'C':
+		s.rejectForCapacity()
+	default:
+		return false
+	}
+	return true
+}
+
+// rejectForCapacity answers a message that there is no memory to keep. Everything up to Sync is skipped.
+func (s *session) rejectForCapacity() {
+	s.bufferedResponses = pgwire.AppendError(s.bufferedResponses, frontend.CapacityError())
+	s.skipToSync = true
+}
+
 func (s *session) flush() {
 	if len(s.bufferedResponses) > 0 {
 		s.conn.Respond(s.bufferedResponses)
--- a/internal/frontend/fakes_test.go
+++ b/internal/frontend/fakes_test.go
@@ -21,10 +21,10 @@
 	"limeladder/internal/transport"
 )
 
-// fakeRouter answers requests by their class, on the event loop. The classes "served", "rejected", "failed", "long" and
-// "truncated" are answered at once, and "unknown" is not accepted. Tests answer the other classes themselves: "any"
-// reads wait for nothing, "latest" reads wait for all writes, "session" reads wait for the writes of their session, and
-// "write" is a class of writes.
+// fakeRouter answers requests by their class, on the event loop. The classes "served" (with the statement), "value"
+// (with the id), "rejected", "failed", "long" and "truncated" are answered at once, and "unknown" is not accepted.
+// Tests answer the other classes themselves: "any" reads wait for nothing, "latest" reads wait for all writes,
+// "session" reads wait for the writes of their session, and "write" is a class of writes.
 type fakeRouter struct {
 	loop          *eventloop.Loop
 	acceptedCount atomic.Int32
@@ -71,6 +71,8 @@
 			message := pgwire.Append(nil, 'T', []byte{0, 0})
 			message = pgwire.Append(message, 'D', []byte{0, 1, 0, 0, byte(len(text) >> 8), byte(len(text))}, text)
 			client.Served(&backend.Response{Messages: pgwire.Append(message, 'C', []byte("SELECT 1\x00"))})
+		case "value":
+			client.Served(valueResponse(request.ClientRequestID))
 		case "rejected":
 			client.Rejected(1500 * time.Millisecond)
 		case "failed":
--- a/internal/frontend/message_reading.go
+++ b/internal/frontend/message_reading.go
@@ -14,12 +14,20 @@
 	messageBytes int           // length of the newest message's body
 	fedBytes     int64         // bytes given to the reader since the connection was accepted
 	partialSince time.Duration // when the first part of an incomplete message arrived, 0 = no message is incomplete
-	lastDataAt   time.Duration // when data last arrived
+	waitingSince time.Duration // when reading first paused within the message because memory is short, 0 = never
 }
 
 // partial reports whether a message has arrived only in part.
 func (in *messageInput) partial() bool { return in.partialSince > 0 }
 
+// trackMemoryWait records that the message waits for memory. Later waits of the same message count from the first one,
+// so that its whole delay is limited.
+func (in *messageInput) trackMemoryWait(now time.Duration) {
+	if in.waitingSince == 0 {
+		in.waitingSince = now
+	}
+}
+
 // maxUserNameBytes limits the length of the user name that is kept.
 const maxUserNameBytes = 64
 
@@ -28,7 +36,6 @@
 	if c.lifetime.closed {
 		return // the socket stays open only until the client has read its last response
 	}
-	c.input.lastDataAt = c.frontend.eventLoop.Now()
 	c.input.fedBytes += int64(len(data))
 	c.input.reader.Feed(data)
 	c.readMessages()
@@ -81,6 +88,7 @@
 
 func (c *Conn) handleMessage(message pgwire.Message) error {
 	c.input.partialSince = 0
+	c.input.waitingSince = 0
 	c.input.messageBytes = len(message.Body)
 	c.lifetime.lastActiveAt = c.frontend.eventLoop.Now()
 	c.lifetime.commandSeen = c.lifetime.started
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -101,6 +101,25 @@
 // enqueue adds a request to the pipeline, with s as the slot of its response, and submits it to the router as soon as
 // the earlier requests permit it.
 func (c *Conn) enqueue(s *slot, request router.Request, client responder) {
+	c.addSlot(s, request, client)
+	statementBytes := c.input.messageBytes
+	if !c.Reserve(statementBytes) {
+		c.rejectForCapacity(s.request, client)
+		return
+	}
+	s.statementBytes = statementBytes
+	c.acceptNewest()
+}
+
+// enqueueRejected adds a request whose message was truncated to the pipeline, and answers it in the order of its
+// connection's requests.
+func (c *Conn) enqueueRejected(s *slot, request router.Request, client responder) {
+	c.addSlot(s, request, client)
+	c.rejectForCapacity(s.request, client)
+}
+
+// addSlot adds a request to the pipeline, with s as the slot of its response.
+func (c *Conn) addSlot(s *slot, request router.Request, client responder) {
 	request.Tenant = c.identity.user
 	request.ClientAddress = c.identity.address
 	*s = slot{
@@ -110,14 +129,6 @@
 		ordering:  c.frontend.router.OrderingOf(request.Class),
 	}
 	c.pipeline.add(s)
-	statementBytes := c.input.messageBytes
-	if !c.Reserve(statementBytes) {
-		c.frontend.router.RecordRejection(request, capacityRetryAfter)
-		client.rejectInvalid(errNoCapacity)
-		return
-	}
-	s.statementBytes = statementBytes
-	c.acceptNewest()
 }
 
 // acceptNewest submits the newest request to the router if it is queued and no longer has to wait.
--- a/internal/frontend/simple_query.go
+++ b/internal/frontend/simple_query.go
@@ -5,6 +5,7 @@
 
 	"limeladder/internal/backend"
 	"limeladder/internal/pgwire"
+	"limeladder/internal/requestcomment"
 	"limeladder/internal/router"
 )
 
@@ -26,6 +27,10 @@
 	}
 	switch message.Type {
 	case 'Q':
+		if message.Truncated {
+			h.rejectTruncated(string(message.Body))
+			return nil
+		}
 		sql, err := pgwire.Query(message.Body)
 		if err != nil {
 			return err
@@ -76,7 +81,27 @@
 		return
 	}
 	responder := &simpleQueryResponder{}
-	h.enqueue(&responder.slot, router.Request{
+	request := h.newRequest(comment)
+	request.Job = job
+	h.enqueue(&responder.slot, request, responder)
+}
+
+// rejectTruncated answers a query of which only the beginning was kept, because memory is short. Where that does not
+// include the whole request comment, the rejection is not recorded.
+func (h *simpleQueryHandler) rejectTruncated(beginning string) {
+	job, _ := NewSimpleQuery(beginning)
+	comment, err := job.ParseComment()
+	if err != nil {
+		h.Respond(pgwire.AppendReady(pgwire.AppendError(nil, CapacityError())))
+		return
+	}
+	responder := &simpleQueryResponder{}
+	h.enqueueRejected(&responder.slot, h.newRequest(comment), responder)
+}
+
+// newRequest returns the request that the comment of the newest message describes, without its job.
+func (h *simpleQueryHandler) newRequest(comment requestcomment.Comment) router.Request {
+	return router.Request{
 		ClientRequestID: comment.ID,
 		Class:           comment.Class,
 		Group:           comment.Group,
@@ -85,8 +110,7 @@
 		ReceivedAt:      h.ReceivedAt(),
 		MinPosition:     comment.MinPosition,
 		Retry:           comment.Retry,
-		Job:             job,
-	}, responder)
+	}
 }
 
 // simpleQueryResponder encodes the response to one simple query.
--- a/internal/frontend/timeouts.go
+++ b/internal/frontend/timeouts.go
@@ -43,13 +43,15 @@
 	return !c.input.partial() && now-c.lifetime.openedAt > c.frontend.limits.Frontend.FirstCommandTimeout
 }
 
-// messageOverdue reports whether an incomplete message has stalled or has taken too long in total.
+// messageOverdue reports whether an incomplete message has stalled or has taken too long in total. Data counts from its
+// arrival at this machine, whenever it is read: a client has not stalled while reading from it is paused, and a pause
+// gives no more time to one that has.
 func (c *Conn) messageOverdue(now time.Duration) bool {
 	if !c.input.partial() {
 		return false
 	}
 	lim := &c.frontend.limits.Frontend
-	stalledFor := now - max(c.input.partialSince, c.input.lastDataAt)
+	stalledFor := now - max(c.input.partialSince, c.socket.LastArrivalAt())
 	return stalledFor > lim.PartialMessageTimeout || now-c.input.partialSince > lim.MessageTimeout
 }
 
--- a/internal/limits/compute.go
+++ b/internal/limits/compute.go
@@ -67,8 +67,10 @@
 
 func frontend(memoryMiB, descriptors int) Frontend {
 	free := connectionDescriptors(descriptors)
+	connections := free * 7 / 10
+	bufferedBytes := memoryMiB * mib / 8
 	return Frontend{
-		Connections: free * 7 / 10,
+		Connections: connections,
 		// Clients use at most a third of the descriptors for their requests, including clients that send one request and
 		// stay connected. Once such connections use up that third, other clients can't connect, even if the router has
 		// descriptors left. Idle connections are therefore closed well before that.
@@ -77,30 +79,34 @@
 		ConcurrentRequests: max(4, free/16),
 		PreparedStatements: 1024,
 
-		StartupBytes:    10_000,
-		MessageBytes:    largestMessage(memoryMiB),
-		PipelinedBytes:  64 * kib,
-		BufferedBytes:   memoryMiB * mib / 8,
-		UnreadBytes:     largestMessage(memoryMiB) + 256*kib,
-		HighWaterBytes:  128 * kib,
-		LowWaterBytes:   32 * kib,
-		SendBufferBytes: 64 * kib,
+		StartupBytes:   10_000,
+		MessageBytes:   largestMessage(memoryMiB),
+		PipelinedBytes: 64 * kib,
+		// Even if all connections keep as much as this, they take no more than half of BufferedBytes.
+		ReservedInputBytes: min(16*kib, bufferedBytes/2/max(1, connections)),
+		BufferedBytes:      bufferedBytes,
+		UnreadBytes:        largestMessage(memoryMiB) + 256*kib,
+		HighWaterBytes:     128 * kib,
+		LowWaterBytes:      32 * kib,
+		SendBufferBytes:    64 * kib,
 
 		// A client that can't be served must get an error or a closed connection within 3 s of connecting. The header of a
 		// message may take 2 s to arrive.
 		StartupTimeout:        2300 * time.Millisecond,
 		FirstCommandTimeout:   2100 * time.Millisecond,
 		PartialMessageTimeout: 2300 * time.Millisecond,
-		MessageTimeout:        15 * time.Second,
-		UnitIdleTimeout:       10 * time.Second,
-		UnreadTimeout:         5 * time.Second,
-		UnstartedIdle:         100 * time.Millisecond,
-		HardLimitIdle:         100 * time.Millisecond,
-		UnusedIdle:            500 * time.Millisecond,
-		SoftLimitIdle:         2 * time.Second,
-		SweepInterval:         50 * time.Millisecond,
-		FlushTimeout:          2 * time.Second,
-		DrainedIdle:           time.Second,
+		// A request whose last byte waits unread must be answered at most half a second after its deadline.
+		MemoryWaitTimeout: 250 * time.Millisecond,
+		MessageTimeout:    15 * time.Second,
+		UnitIdleTimeout:   10 * time.Second,
+		UnreadTimeout:     5 * time.Second,
+		UnstartedIdle:     100 * time.Millisecond,
+		HardLimitIdle:     100 * time.Millisecond,
+		UnusedIdle:        500 * time.Millisecond,
+		SoftLimitIdle:     2 * time.Second,
+		SweepInterval:     50 * time.Millisecond,
+		FlushTimeout:      2 * time.Second,
+		DrainedIdle:       time.Second,
 	}
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,18 +38,20 @@
 	ConcurrentRequests int // requests in flight on one connection
 	PreparedStatements int // prepared statements and portals of one connection
 
-	StartupBytes    int // length of a startup message
-	MessageBytes    int // length of any other message
-	PipelinedBytes  int // bytes that a client may send ahead while its request is in flight
-	BufferedBytes   int // statements (waiting, prepared or running) and responses of all connections together
-	UnreadBytes     int // response bytes that one client may leave unread
-	HighWaterBytes  int // with more unread bytes, a streamed response and reading from the client pause
-	LowWaterBytes   int // with no more unread bytes than this, both resume
-	SendBufferBytes int // size of a connection's send buffer in the operating system
+	StartupBytes       int // length of a startup message
+	MessageBytes       int // length of any other message
+	PipelinedBytes     int // bytes that a client may send ahead while its request is in flight
+	ReservedInputBytes int // unparsed input that a connection may keep even while BufferedBytes are in use
+	BufferedBytes      int // statements (waiting, prepared or running) and responses of all connections together
+	UnreadBytes        int // response bytes that one client may leave unread
+	HighWaterBytes     int // with more unread bytes, a streamed response and reading from the client pause
+	LowWaterBytes      int // with no more unread bytes than this, both resume
+	SendBufferBytes    int // size of a connection's send buffer in the operating system
 
 	StartupTimeout        time.Duration // until the startup message is complete
 	FirstCommandTimeout   time.Duration // from accepting a connection to its first command, if startup is complete
 	PartialMessageTimeout time.Duration // maximum gap in the arrival of a message
+	MemoryWaitTimeout     time.Duration // how long an incomplete message waits for memory before it is rejected
 	MessageTimeout        time.Duration // from the beginning of a message to its end
 	UnitIdleTimeout       time.Duration // maximum time that a client leaves a unit of work unfinished without activity
 	UnreadTimeout         time.Duration // until a client reads some of its unread responses
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -76,6 +76,9 @@
 			memory := int64(g.memoryMiB) << 20
 			checkAtMost(t, "memory target", l.Memory.TargetBytes, memory*2/3)
 			checkAtMost(t, "client buffers", int64(l.Frontend.BufferedBytes), memory/8)
+			reserved := l.Frontend.Connections * l.Frontend.ReservedInputBytes
+			checkAtMost(t, "reserved input of all connections", reserved, l.Frontend.BufferedBytes/2)
+			checkAtMost(t, "request of 1 KiB", 1<<10, l.Frontend.ReservedInputBytes)
 			checkAtMost(t, "inbox", int64(l.Transport.InboxBytes), memory/16)
 			checkAtMost(t, "response bytes", l.Backend.ResponseBytes, l.Frontend.UnreadBytes)
 			checkAtMost(t, "400 KiB value", 400<<10, l.Backend.ResponseBytes)
--- a/internal/pgwire/message_types.go
+++ b/internal/pgwire/message_types.go
@@ -2,8 +2,9 @@
 
 // Message is one message. Type is 0 for a startup message. Body is valid until the next call of Reader.Feed.
 type Message struct {
-	Type byte
-	Body []byte
+	Type      byte
+	Body      []byte
+	Truncated bool // Body is only the beginning of the message: Reader.Truncate has discarded the rest
 }
 
 // Types of the messages that a client sends.
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -40,7 +41,7 @@
 				break
 			}
 			decodeWithAll(m.Body)
-			out = append(out, Message{m.Type, bytes.Clone(m.Body)})
+			out = append(out, Message{Type: m.Type, Body: bytes.Clone(m.Body), Truncated: m.Truncated})
 		}
 	}
 	return out, nil
@@ -60,15 +61,9 @@
 }
 
 func equalMessages(a, b []Message) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].Type != b[i].Type || !bytes.Equal(a[i].Body, b[i].Body) {
-			return false
-		}
-	}
-	return true
+	return slices.EqualFunc(a, b, func(m, n Message) bool {
+		return m.Type == n.Type && bytes.Equal(m.Body, n.Body) && m.Truncated == n.Truncated
+	})
 }
 
 func TestRandomSplits(t *testing.T) {
@@ -268,3 +263,76 @@
 		t.Fatalf("%v allocations per row, want 0", n)
 	}
 }
+
+// A message that is truncated while it arrives ends where its sender ends it, and the messages after it are unharmed,
+// however they are split.
+func TestTruncatedMessageKeepsItsBeginning(t *testing.T) {
+	const keep = 30
+	long := AppendQuery(nil, strings.Repeat("0123456789", 100))
+	next := AppendQuery(nil, "next")
+	stream := slices.Concat(long, next, long)
+	for have := headerBytes; have < len(long); have += 37 {
+		want := []Message{
+			{Type: 'Q', Body: long[headerBytes : headerBytes+min(keep, have-headerBytes)], Truncated: true},
+			{Type: 'Q', Body: next[headerBytes:]},
+			{Type: 'Q', Body: long[headerBytes:]},
+		}
+		for _, step := range []int{1, 7, len(stream)} {
+			reader := fedReader(0, stream[:have])
+			if !reader.Truncate(keep) || reader.Truncate(keep) {
+				t.Fatalf("with %d bytes the message can't be truncated, or twice", have)
+			}
+			if got := reader.Buffered(); got > headerBytes+keep || cap(reader.buf) > 2*(headerBytes+keep) {
+				t.Fatalf("%d bytes are kept in a buffer of %d, want at most %d", got, cap(reader.buf), headerBytes+keep)
+			}
+			got := feedInSteps(reader, stream[have:], step)
+			if !equalMessages(got, want) || reader.Buffered() > 0 {
+				t.Fatalf("truncated at %d, in steps of %d: got %d messages, want the beginning and 2 whole ones",
+					have, step, len(got))
+			}
+		}
+	}
+}
+
+// feedInSteps feeds p in pieces of the given size and returns the messages that became complete.
+func feedInSteps(reader *Reader, p []byte, step int) (messages []Message) {
+	for piece := range slices.Chunk(p, step) {
+		reader.Feed(piece)
+		for m, ok, _ := reader.Next(); ok; m, ok, _ = reader.Next() {
+			m.Body = bytes.Clone(m.Body)
+			messages = append(messages, m)
+		}
+	}
+	return messages
+}
+
+// Only an incomplete message whose length is known can be truncated, and no startup message.
+func TestOnlyAnIncompleteMessageIsTruncated(t *testing.T) {
+	query := AppendQuery(nil, "SELECT 1")
+	startup := AppendStartup(nil, "user", "x")
+	completed := fedReader(0, query[:len(query)-1])
+	completed.Feed(slices.Concat(query[len(query)-1:], query))
+	for what, reader := range map[string]*Reader{
+		"nothing":                                 fedReader(0, nil),
+		"part of a header":                        fedReader(0, query[:headerBytes-1]),
+		"a whole message":                         fedReader(0, query),
+		"part of a startup message":               fedReader(100, startup[:len(startup)-1]),
+		"a message that was incomplete, and more": completed,
+	} {
+		if reader.Truncate(1) {
+			t.Errorf("%s is truncated", what)
+		}
+	}
+	if got := feedInSteps(completed, query, len(query)); len(got) != 3 {
+		t.Errorf("%d messages follow, want 3", len(got))
+	}
+}
+
+// fedReader returns a reader that has returned the messages in data which are complete.
+func fedReader(startupLimit int, data []byte) *Reader {
+	reader := NewReader(1<<16, startupLimit)
+	if len(data) > 0 {
+		feedInSteps(reader, data, len(data))
+	}
+	return reader
+}
--- a/internal/pgwire/reader.go
+++ b/internal/pgwire/reader.go
@@ -21,10 +21,24 @@
 	start int // index in buf of the first byte that Next or NextBytes has not returned yet
 	// incomplete is the size in bytes of the incomplete message, with its header; 0 = not known.
 	incomplete   int
+	truncation   truncation
 	limit        int // maximum length of a message in bytes
 	startupLimit int // maximum length of a startup message in bytes, 0 after the startup
 }
 
+// truncation is the state of a message that was truncated before all of it had arrived.
+type truncation struct {
+	keptBytes    int // what is left of the message in the buffer, with its header; 0 = no message is truncated
+	missingBytes int // bytes of the message that have not arrived yet
+}
+
+// discard returns p without the bytes that belong to the truncated message.
+func (t *truncation) discard(p []byte) []byte {
+	discarded := min(len(p), t.missingBytes)
+	t.missingBytes -= discarded
+	return p[discarded:]
+}
+
 // NewReader returns a Reader of typed messages of at most limit bytes. If startupLimit is above 0, the first message is
 // an untyped one of at most that many bytes.
 func NewReader(limit, startupLimit int) *Reader {
@@ -33,6 +47,7 @@
 
 // Feed adds bytes that have arrived.
 func (r *Reader) Feed(p []byte) {
+	p = r.truncation.discard(p)
 	r.reclaim()
 	have := r.Buffered() + len(p)
 	if r.incomplete > have && have > r.incomplete/growFraction {
@@ -61,6 +76,10 @@
 // Next returns the next complete message. ok is false if none has arrived yet. The length is checked as soon as it has
 // arrived, before the buffer grows to that size. The error is a *SizeError.
 func (r *Reader) Next() (m Message, ok bool, err error) {
+	if r.truncation.keptBytes > 0 {
+		m, ok = r.nextTruncated()
+		return m, ok, nil
+	}
 	if r.start == len(r.buf) && cap(r.buf) > maxIdleBuffer {
 		// One long message must not occupy its memory for the rest of the connection.
 		r.buf = nil
@@ -95,8 +114,40 @@
 	return m, true, nil
 }
 
+// nextTruncated returns the truncated message once all of it has arrived.
+func (r *Reader) nextTruncated() (m Message, ok bool) {
+	if r.truncation.missingBytes > 0 {
+		return m, false
+	}
+	end := r.start + r.truncation.keptBytes
+	p := r.buf[r.start:end:end]
+	r.start = end
+	r.truncation = truncation{}
+	return Message{Type: p[0], Body: p[headerBytes:], Truncated: true}, true
+}
+
+// Truncate frees the memory of the incomplete message, except for its header and up to keep bytes of its body, and
+// discards the rest of it as it arrives. Next returns what was kept once the whole message has arrived. Truncate does
+// nothing and returns false if there is no incomplete message, if its length is not known yet, if the rest of it has
+// arrived since the last call of Next, or if it is a startup message.
+func (r *Reader) Truncate(keep int) bool {
+	_, _, have, ok := r.Incomplete()
+	if !ok || r.Buffered() >= r.incomplete {
+		return false
+	}
+	r.truncation = truncation{
+		keptBytes:    headerBytes + min(keep, len(have)),
+		missingBytes: r.incomplete - r.Buffered(),
+	}
+	r.buf = slices.Clone(r.buf[r.start : r.start+r.truncation.keptBytes])
+	r.start = 0
+	r.incomplete = 0
+	return true
+}
+
 // Incomplete returns the type of an incomplete message, the length of its body in bytes, and the part of the body that
-// has arrived. ok is false if there is no incomplete message, or if its length has not arrived yet.
+// has arrived. ok is false if there is no incomplete message, if its length has not arrived yet, or if the message was
+// truncated.
 func (r *Reader) Incomplete() (typ byte, length int, have []byte, ok bool) {
 	p := r.buf[r.start:]
 	if r.startupLimit > 0 || len(p) < headerBytes || r.incomplete == 0 {
--- a/internal/transport/arrivals.go
+++ b/internal/transport/arrivals.go
@@ -15,7 +15,8 @@
 // allows.
 type arrivalLog struct {
 	marks    []arrivalMark
-	lookedUp int64 // bytes before the first mark, whose arrival was looked up already
+	lookedUp int64         // bytes before the first mark, whose arrival was looked up already
+	newestAt time.Duration // when the newest byte arrived, 0 = none has
 }
 
 // arrivalMark records that the first upTo bytes of the stream had arrived by arrivedAt.
@@ -34,6 +35,7 @@
 	if upTo <= l.recorded() {
 		return
 	}
+	l.newestAt = now
 	last := len(l.marks) - 1
 	if last >= 0 && now-l.marks[last].arrivedAt < arrivalResolution {
 		l.marks[last].upTo = upTo
@@ -93,6 +95,14 @@
 	return c.engine.loop.Now()
 }
 
+// LastArrivalAt returns when the newest byte from the peer arrived at this machine, on the loop's clock, whether or not
+// it was processed. It is 0 if none has arrived, or if arrivals are not recorded.
+func (c *Conn) LastArrivalAt() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.arrivals.newestAt
+}
+
 // recordArrival records that n more bytes were read. The caller holds c.mutex.
 func (c *Conn) recordArrival(n int) {
 	c.bytesRead += int64(n)
--- a/internal/transport/arrivals_test.go
+++ b/internal/transport/arrivals_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// The newest arrival is that of bytes that were not recorded before, whether or not they were looked up or merged.
+func TestNewestArrival(t *testing.T) {
+	var a arrivalLog
+	for i := range int64(3 * maxArrivalMarks) {
+		at := time.Duration(i+1) * time.Second
+		a.record(i+1, at)
+		a.record(i+1, at+time.Second/2)
+		if a.newestAt != at {
+			t.Fatalf("byte %d arrived at %v, newest arrival is %v", i+1, at, a.newestAt)
+		}
+		if i%7 == 0 {
+			a.lookup(i + 1)
+		}
+	}
+}
+
 // Bytes that wait in the inbox, or in the system's buffer while the connection is not being read, have the time of
 // their arrival, not the time at which they are processed.
 func TestArrivalTimeOfUnreadBytes(t *testing.T) {
