Session commits are merged, not forgotten, once all ready endpoints have them

Cause: Balancer.expire deleted a session's commit once the endpoints that were ready at that second had applied it. One that joins or comes back later starts behind it; with the commit gone, the read required position 0, and any replica has that. Evidence: in a harness without sockets the read avoids the joined replica until expire has run, and goes there afterwards, with its position not known and with an older one reported.

Since no session read goes to a replica below the group's position, such a read has it asked by a health check, within the budget.

Related paths by the same lines, each with a test: a write to another group replaced the commit and was deleted by that group's replicas; a group whose endpoints are all out of the list counted as having applied everything.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -39,7 +39,7 @@
 	classes        map[string]*classState
 	quotas         map[string]*tokenBucket // by tenant
 	requests       map[string]*request
-	sessionCommits map[int64]sessionCommit // by session
+	sessionCommits sessionCommits
 
 	throughput     throughput
 	retries        retryBudget
@@ -64,7 +64,7 @@
 		classes:        map[string]*classState{},
 		quotas:         map[string]*tokenBucket{},
 		requests:       map[string]*request{},
-		sessionCommits: map[int64]sessionCommit{},
+		sessionCommits: newSessionCommits(),
 		retries:        newRetryBudget(),
 		healthChecks:   newHealthCheckBudget(config.HealthCheckCost),
 		tightestBound:  config.tightestBound(),
--- a/balance/doc.go
+++ b/balance/doc.go
@@ -36,5 +36,5 @@
 //
 // Each concept that the page does not specify has its own file and type: endpointHealth, outlierStats,
 // concurrencyLimit, slowStart, workCredit, healthCheckBudget, retryBudget, tokenBucket (quotas of tenants),
-// discoveryPoll, and eligibility, which checks every send.
+// discoveryPoll, sessionCommits, and eligibility, which checks every send.
 package balance
--- a/balance/expiry.go
+++ b/balance/expiry.go
@@ -13,7 +13,7 @@
 	softRemovalExpiryDelay = 10 * time.Minute
 )
 
-// expire deletes state that would otherwise accumulate: removed endpoints, groups without endpoints, and session
+// expire deletes state that would otherwise accumulate: removed endpoints, groups without endpoints, and old session
 // commits that all ready endpoints of their group are known to have applied. It also decays the statistics of the
 // classes. It is called once a second. With Config.SoftRemoval a removed endpoint may come back, so it is kept for
 // longer.
@@ -29,11 +29,7 @@
 		b.expireEndpoints(group, delay)
 	}
 	b.expireGroups()
-	for session, commit := range b.sessionCommits {
-		if commit.appliedEverywhere() {
-			delete(b.sessionCommits, session)
-		}
-	}
+	b.sessionCommits.expire(b.now, b.appliedEverywhere)
 }
 
 // expireEndpoints deletes the endpoints of the group that were removed at least the delay ago and have no attempts in
--- a/balance/expiry_test.go
+++ b/balance/expiry_test.go
@@ -74,7 +74,7 @@
 		t.Errorf("%d endpoints, %d groups, %d requests are kept; want at most 60, 1 and 9, all endpoints in the group",
 			n, len(h.balancer.groups), len(h.balancer.requests))
 	}
-	if len(h.balancer.sessionCommits) > 9 {
-		t.Errorf("%d session commits are kept, want at most 9", len(h.balancer.sessionCommits))
+	if commits := len(h.balancer.sessionCommits.latest) + len(h.balancer.sessionCommits.older); commits > 9 {
+		t.Errorf("%d session commits are kept, want at most 9", commits)
 	}
 }
--- a/balance/replica_group.go
+++ b/balance/replica_group.go
@@ -7,17 +7,17 @@
 
 // replicaGroup is a set of endpoints that hold the same data: one primary and its replicas.
 type replicaGroup struct {
-	id              int64
-	endpoints       []*endpoint // sorted by id
-	pending         []*request  // requests that wait for an endpoint
-	primary         primaryCache
-	search          primarySearch
-	hasSuspects     bool // an endpoint may be suspect, or resumed and not used yet
-	firstChecksSent bool // the health checks for the first use have been sent
-	lastRequestAt   Time
-	unavailableAt   Time // when a weak read last found no available replica
-	shortage        boundedReadShortage
-	longReads       longReadPacing
+	id               int64
+	endpoints        []*endpoint // sorted by id
+	pending          []*request  // requests that wait for an endpoint
+	primary          primaryCache
+	search           primarySearch
+	hasSuspects      bool // an endpoint may be suspect, or resumed and not used yet
+	firstChecksSent  bool // the health checks for the first use have been sent
+	lastRequestAt    Time
+	positionNeededAt Time // when a weak read last lacked a replica whose position is recent enough
+	shortage         boundedReadShortage
+	longReads        longReadPacing
 }
 
 // groupFor returns the group with the id, which it creates if necessary.
@@ -39,12 +39,12 @@
 }
 
 // idle reports whether the group needs no health check now: its first checks have been sent, no request is pending, no
-// weak read lacked a replica in this step, and no endpoint is suspect or resumed and not used yet.
+// weak read lacked a position in this step, and no endpoint is suspect or resumed and not used yet.
 func (g *replicaGroup) idle(now Time) bool {
 	if !g.firstChecksSent || g.hasSuspects {
 		return false
 	}
-	return len(g.pending) == 0 && g.unavailableAt != now
+	return len(g.pending) == 0 && g.positionNeededAt != now
 }
 
 // inUse reports whether the group had a request within the active window.
--- a/balance/replica_group_test.go
+++ b/balance/replica_group_test.go
@@ -27,7 +27,7 @@
 		{"nothing pending", replicaGroup{firstChecksSent: true}, true},
 		{"a request is pending", replicaGroup{firstChecksSent: true, pending: []*request{{}}}, false},
 		{"an endpoint may be suspect", replicaGroup{firstChecksSent: true, hasSuspects: true}, false},
-		{"a read found no available replica in this step", replicaGroup{firstChecksSent: true, unavailableAt: now}, false},
+		{"a read found no available replica in this step", replicaGroup{firstChecksSent: true, positionNeededAt: now}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if got := c.group.idle(now); got != c.want {
--- a/balance/replica_selection.go
+++ b/balance/replica_selection.go
@@ -56,7 +56,7 @@
 	if len(replicas) > 0 && candidates.missed < maxReplicaMisses {
 		return b.draw(replicas)
 	}
-	request.group.unavailableAt = b.now
+	request.group.positionNeededAt = b.now
 	if b.requestReports(request) {
 		return nil
 	}
@@ -80,7 +80,11 @@
 	candidates := &b.candidates
 	candidates.reset()
 	for _, endpoint := range request.group.endpoints {
-		if request.group.isKnownPrimary(endpoint) || !b.isAvailable(request, endpoint) {
+		if request.group.isKnownPrimary(endpoint) {
+			continue
+		}
+		if !b.isAvailable(request, endpoint) {
+			b.requestOlderCommits(request, endpoint)
 			continue
 		}
 		if request.wasMissedBy(endpoint) {
@@ -124,6 +128,21 @@
 	return expected
 }
 
+// requestOlderCommits marks a replica for a health check if a session read can't go to it because it is not known to
+// have the commits that no session read may miss: one that has just joined or come back. No session read goes to such a
+// replica, so without the health check nothing might show for long that it has caught up.
+func (b *Balancer) requestOlderCommits(request *request, endpoint *endpoint) {
+	if request.class.Consistency != ConsistencySession || b.config.ClientSessionTokens || !endpoint.inService() {
+		return
+	}
+	position := endpoint.replication.position
+	if position > 0 && position >= b.sessionCommits.older[request.group.id] {
+		return
+	}
+	endpoint.replication.positionNeededAt = b.now
+	request.group.positionNeededAt = b.now
+}
+
 // reportExpected reports whether a load report of the endpoint should arrive soon, or can be requested.
 func (b *Balancer) reportExpected(endpoint *endpoint) bool {
 	if endpoint.check.resultExpected(b.now) {
--- a/balance/replication.go
+++ b/balance/replication.go
@@ -1,9 +1,6 @@
 package balance
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // commitRounding is the most by which a reported commit position may have been rounded up.
 const commitRounding = time.Millisecond
@@ -35,19 +32,6 @@
 	return now-r.lag < required && now-r.lagObservedAt < activeWindow
 }
 
-// sessionCommit is the last commit of a session, kept if clients carry no session token.
-type sessionCommit struct {
-	position Time
-	group    *replicaGroup
-}
-
-// appliedEverywhere reports whether all ready endpoints of the group have applied the commit.
-func (c sessionCommit) appliedEverywhere() bool {
-	return !slices.ContainsFunc(c.group.endpoints, func(endpoint *endpoint) bool {
-		return endpoint.discovery.state == EndpointReady && endpoint.replication.position < c.position
-	})
-}
-
 // requiredPosition returns the replication position that an endpoint must have reached to serve the read.
 func (b *Balancer) requiredPosition(request *request) Time {
 	switch request.class.Consistency {
@@ -83,13 +67,3 @@
 func (b *Balancer) positionExpired(endpoint *endpoint) bool {
 	return b.tightestBound > 0 && b.now-endpoint.replication.position > b.tightestBound
 }
-
-// rememberCommit keeps the position of a session's last write if clients carry no session token.
-func (b *Balancer) rememberCommit(request *request, position Time) {
-	if request.sessionKey == 0 || b.config.ClientSessionTokens {
-		return
-	}
-	if position > b.sessionCommits[request.sessionKey].position {
-		b.sessionCommits[request.sessionKey] = sessionCommit{position: position, group: request.group}
-	}
-}
--- a/balance/replication_test.go
+++ b/balance/replication_test.go
@@ -49,23 +49,6 @@
 	}
 }
 
-func TestCommitAppliedEverywhere(t *testing.T) {
-	group := &replicaGroup{}
-	for _, position := range []Time{5 * time.Second, 7 * time.Second} {
-		group.add(&endpoint{
-			group:       group,
-			discovery:   discoveryState{state: EndpointReady},
-			replication: replicationState{position: position},
-		})
-	}
-	group.add(&endpoint{group: group, discovery: discoveryState{state: EndpointRemoved}})
-	for position, want := range map[Time]bool{5 * time.Second: true, 6 * time.Second: false} {
-		if got := (sessionCommit{position: position, group: group}).appliedEverywhere(); got != want {
-			t.Errorf("commit at %v: appliedEverywhere() = %v, want the opposite", position, got)
-		}
-	}
-}
-
 // A lag that an endpoint reported seconds ago must not exclude it permanently.
 func TestOldLagIsIgnored(t *testing.T) {
 	c := testConfig()
--- a/balance/request.go
+++ b/balance/request.go
@@ -130,8 +130,10 @@
 		return b.now
 	case class.Consistency != ConsistencySession:
 		return 0
+	case !b.config.ClientSessionTokens && event.SessionID == 0:
+		return 0
 	case !b.config.ClientSessionTokens:
-		return b.sessionCommits[event.SessionID].position
+		return b.sessionCommits.required(sessionInGroup{event.SessionID, event.Group})
 	case event.SinceSessionWrite > 0:
 		return b.now - event.SinceSessionWrite + commitRounding
 	}
--- a/balance/request_test.go
+++ b/balance/request_test.go
@@ -30,8 +30,8 @@
 		t.Fatal(err)
 	}
 	b.now = 100 * time.Second
-	b.sessionCommits[5] = sessionCommit{position: 90 * time.Second}
-	event := Request{SessionID: 5, SinceSessionWrite: time.Second}
+	b.sessionCommits.record(sessionInGroup{session: 5, group: 1}, 90*time.Second)
+	event := Request{SessionID: 5, Group: 1, SinceSessionWrite: time.Second}
 	for _, c := range []struct {
 		class  string
 		tokens bool
