Streamed responses share a sixteenth of memory, and paused connections keep little

Cause: each bound on a streamed value was for its connection, and nothing bounded their sum.

Change: the unsent bytes of all streamed responses share Frontend.StreamedBytes, 8 KiB at least and 128 KiB at most each. A paused connection is read no further than one read, in parts of half of the share (Conn.LimitInbox). A long row is passed on from where it was received, so its reader keeps nothing. Related: unread bytes of streamed responses counted towards the limit on other unread responses and had their clients disconnected; they are counted apart.

Test fakes of the flow controller got its new method LimitParts.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -82,6 +82,13 @@
 	return false
 }
 
+// LimitParts limits how much of the response is read at a time. It implements router.FlowController.
+func (a *attempt) LimitParts(bytes int) {
+	if a.connection != nil {
+		a.connection.socket.LimitInbox(bytes)
+	}
+}
+
 // SetPaused pauses or resumes the reading of the response. It implements router.FlowController.
 func (a *attempt) SetPaused(paused bool) {
 	if a.connection != nil {
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -156,6 +156,7 @@
 // response in a later segment would otherwise be taken for the response to the next attempt. Any bytes received during
 // the delay cause the connection to be closed.
 func (c *connection) delayReuse() {
+	c.socket.LimitInbox(0)
 	c.endpoint.reuseDelayed++
 	c.reuseTimer = c.endpoint.pool.loop.AfterFunc(c.endpoint.pool.limits.Backend.ReuseDelay, c.endReuseDelay)
 }
--- a/internal/backend/receive.go
+++ b/internal/backend/receive.go
@@ -37,8 +37,11 @@
 
 // Data handles received bytes. It implements transport.Handler.
 func (c *connection) Data(p []byte) {
-	c.reader.Feed(p)
 	c.progressTimer.Stop()
+	p = c.streamDirectly(p)
+	if len(p) > 0 {
+		c.reader.Feed(p)
+	}
 	if c.attempt != nil && c.incoming.startedAt == 0 {
 		c.incoming.startedAt = c.endpoint.pool.loop.Now()
 	}
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -51,13 +51,28 @@
 	return a.job.StartsResponse(c.incoming.response)
 }
 
-// streamRow forwards the received part of a long row, and reports whether the row is now complete.
+// streamDirectly forwards the bytes of a long row without keeping a copy of them, unless earlier ones are still
+// buffered. It returns the bytes that it has not forwarded.
+func (c *connection) streamDirectly(p []byte) []byte {
+	row := c.incoming.streamedRow
+	if row == nil || c.reader.Buffered() > 0 {
+		return p
+	}
+	count := min(row.BytesLeft, len(p))
+	c.forwardRow(p[:count])
+	return p[count:]
+}
+
+// streamRow forwards the buffered part of a long row, and reports whether the row is now complete.
 func (c *connection) streamRow() bool {
+	p := c.reader.NextBytes(min(c.incoming.streamedRow.BytesLeft, c.reader.Buffered()))
+	c.reader.ReleaseBuffer() // the rest of the row is not buffered
+	return len(p) > 0 && c.forwardRow(p)
+}
+
+// forwardRow forwards the next part of a long row, and reports whether the row is now complete.
+func (c *connection) forwardRow(p []byte) bool {
 	in := &c.incoming
-	p := c.reader.NextBytes(min(in.streamedRow.BytesLeft, c.reader.Buffered()))
-	if len(p) == 0 {
-		return false
-	}
 	if err := in.streamedRow.Feed(p); err != nil {
 		c.handleViolation(fmt.Errorf("streamed row: %w", err))
 		return false
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -87,7 +87,7 @@
 	c.memory.releaseAll()
 	if c.output.flow != nil {
 		c.output.flow.SetPaused(false) // the rest of the response is still read from the endpoint, and discarded
-		c.output.flow = nil
+		c.setFlow(nil)
 	}
 	if c.exclusive.inFlight() {
 		c.frontend.router.Disconnect(c.exclusive.id)
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -9,7 +9,7 @@
 // sweep closes connections that are overdue or drained, evicts idle ones, and schedules the next sweep.
 func (f *Frontend) sweep() {
 	now := f.eventLoop.Now()
-	unreadBytes := f.closeOverdue(now)
+	unread := f.closeOverdue(now)
 	f.rejectWaitingMessages(now)
 	inputWaits := f.resumeInput()
 	f.memory.refusedBytes = 0
@@ -19,26 +19,30 @@
 	}
 	f.evictIdle(now)
 	f.sweepCount++
-	f.nextSweep = f.eventLoop.AfterFunc(f.sweepInterval(unreadBytes > 0 || inputWaits), f.sweep)
+	f.nextSweep = f.eventLoop.AfterFunc(f.sweepInterval(unread || inputWaits), f.sweep)
 }
 
-// closeOverdue closes the connections that have exceeded a timeout, and returns how many bytes of responses the other
-// clients have not read.
-func (f *Frontend) closeOverdue(now time.Duration) (unreadBytes int) {
+// closeOverdue closes the connections that have exceeded a timeout, and reports whether other clients have not read all
+// of their responses.
+func (f *Frontend) closeOverdue(now time.Duration) (unread bool) {
 	lim := &f.limits.Frontend
+	unreadBytes := 0 // of responses that are not streamed: StreamedBytes limits the others
 	for c := range f.connections {
 		c.trackProgress(now)
 		if err := c.overdue(now); err != nil {
 			c.closeWithError(err)
 			continue
 		}
-		unreadBytes += c.output.unsentBytes
+		unread = unread || c.output.unsentBytes > 0
+		if c.output.flow == nil {
+			unreadBytes += c.output.unsentBytes
+		}
 		if unreadBytes > lim.BufferedBytes && c.hasUnreadResponse() {
 			// Many clients that do not read their responses exhaust the memory where one alone does not.
 			c.closeWithError(errUnreadLimit)
 		}
 	}
-	return unreadBytes
+	return unread
 }
 
 // sweepInterval returns the time to the next sweep. With a fixed short interval every idle router of a fleet would wake
--- a/internal/frontend/exclusive_request.go
+++ b/internal/frontend/exclusive_request.go
@@ -49,7 +49,7 @@
 // CompleteRequest ends the request in flight. It calls next before it reads messages that were sent after the request.
 func (c *Conn) CompleteRequest(next func() error) {
 	c.exclusive.id = ""
-	c.output.flow = nil
+	c.setFlow(nil)
 	c.Release(c.exclusive.statementBytes)
 	c.exclusive.statementBytes = 0
 	c.exclusive.session = ""
--- a/internal/frontend/fakes_test.go
+++ b/internal/frontend/fakes_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -133,6 +134,7 @@
 	paused         bool
 	truncates      bool // the response ends after half of the row
 	maxUnsentBytes int
+	partBytes      int // most bytes of a part, 0 = not limited
 }
 
 // SetPaused implements router.FlowController.
@@ -143,9 +145,12 @@
 	}
 }
 
+// LimitParts implements router.FlowController.
+func (s *fakeSource) LimitParts(bytes int) { s.partBytes = bytes }
+
 func (s *fakeSource) send() {
 	for !s.paused && s.remaining > 0 {
-		count := min(s.remaining, 10_000)
+		count := min(s.remaining, 10_000, cmp.Or(s.partBytes, s.remaining))
 		s.remaining -= count
 		s.client.ResponsePart(make([]byte, count))
 		if c, ok := s.client.(*simpleQueryResponder); ok {
@@ -169,6 +174,9 @@
 // SetPaused implements router.FlowController.
 func (pauses *pauseRecorder) SetPaused(on bool) { pauses.calls = append(pauses.calls, on) }
 
+// LimitParts implements router.FlowController.
+func (pauses *pauseRecorder) LimitParts(int) {}
+
 func defaultLimits() limits.Limits {
 	return limits.New(192, 1024, 250*time.Millisecond, 15*time.Second, 3*time.Second)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -44,6 +44,7 @@
 
 	connections       map[*Conn]struct{}
 	memory            memoryUse
+	streamCount       int // connections to which a response is being streamed
 	drain             drainState
 	ready             bool
 	identifiesClients bool // requests carry the client's user name and address
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -238,7 +238,7 @@
 	if s.mustBuffer() {
 		s.buffer(data)
 	} else {
-		c.output.flow = nil
+		c.setFlow(nil)
 		c.pipeline.removeFirst()
 		c.write(data)
 		c.writeAnswered()
@@ -321,8 +321,8 @@
 		return
 	}
 	s.send(data)
-	if !c.lifetime.closed && c.socket.BytesUnsent() <= c.frontend.limits.Frontend.HighWaterBytes {
-		s.flow.SetPaused(false)
+	if !c.lifetime.closed {
+		c.resumeFlow(s.flow)
 	}
 }
 
--- a/internal/frontend/response_stream.go
+++ b/internal/frontend/response_stream.go
@@ -47,7 +47,7 @@
 
 // StartResponse starts a response that is streamed from flow.
 func (c *Conn) StartResponse(data []byte, flow router.FlowController) {
-	c.output.flow = flow
+	c.setFlow(flow)
 	c.WriteResponsePart(data)
 }
 
@@ -64,17 +64,51 @@
 	if c.socket.BytesUnsent() > 0 {
 		c.frontend.sweepSoon() // unsent data counts towards the limit of all clients
 	}
-	lim := &c.frontend.limits.Frontend
-	if c.output.flow != nil && c.socket.BytesUnsent() > lim.HighWaterBytes {
+	high, low := c.frontend.streamWaterMarks()
+	if c.output.flow != nil && c.socket.BytesUnsent() > high {
 		c.output.flow.SetPaused(true)
-		c.socket.NotifyWhenUnsentBelow(lim.LowWaterBytes)
+		c.output.flow.LimitParts(high / 2)
+		c.socket.NotifyWhenUnsentBelow(low)
+	}
+}
+
+// setFlow sets the source of the response that is being streamed, nil = none.
+func (c *Conn) setFlow(flow router.FlowController) {
+	if c.output.flow != nil {
+		c.frontend.streamCount--
+	}
+	if flow != nil {
+		c.frontend.streamCount++
+	}
+	c.output.flow = flow
+}
+
+// streamWaterMarks returns how many bytes of a streamed response may be unsent before its source is paused, and with
+// how many its source is resumed. All streamed responses share StreamedBytes: the more clients read slowly, the less waits
+// for each of them.
+func (f *Frontend) streamWaterMarks() (high, low int) {
+	lim := &f.limits.Frontend
+	share := lim.StreamedBytes / max(1, f.streamCount)
+	high = min(lim.HighWaterBytes, max(lim.MinStreamedBytes, share))
+	return high, min(lim.LowWaterBytes, high/4)
+}
+
+// resumeFlow resumes the source of the streamed response if few enough bytes are unsent. Otherwise WriteDrained calls
+// it again: more responses may have been started since its last mark was set.
+func (c *Conn) resumeFlow(flow router.FlowController) {
+	high, low := c.frontend.streamWaterMarks()
+	if c.socket.BytesUnsent() > high {
+		c.socket.NotifyWhenUnsentBelow(low)
+		return
 	}
+	flow.LimitParts(high / 2)
+	flow.SetPaused(false)
 }
 
 // TruncateResponse ends a streamed response that will not be completed. Within a row only closing the connection can
 // signal the truncation to the client.
 func (c *Conn) TruncateResponse() {
-	c.output.flow = nil
+	c.setFlow(nil)
 	c.exclusive.id = ""
 	c.Close()
 }
@@ -97,7 +131,7 @@
 		c.writeAnswered()
 		c.resume()
 	}
-	if c.output.flow != nil && c.socket.BytesUnsent() <= c.frontend.limits.Frontend.HighWaterBytes {
-		c.output.flow.SetPaused(false)
+	if c.output.flow != nil {
+		c.resumeFlow(c.output.flow)
 	}
 }
--- a/internal/limits/compute.go
+++ b/internal/limits/compute.go
@@ -87,6 +87,8 @@
 		BufferedBytes:      bufferedBytes,
 		UnreadBytes:        largestMessage(memoryMiB) + 256*kib,
 		HighWaterBytes:     128 * kib,
+		StreamedBytes:      memoryMiB * mib / 16,
+		MinStreamedBytes:   8 * kib,
 		LowWaterBytes:      32 * kib,
 		SendBufferBytes:    64 * kib,
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -45,6 +45,8 @@
 	BufferedBytes      int // statements (waiting, prepared or running) and responses of all connections together
 	UnreadBytes        int // response bytes that one client may leave unread
 	HighWaterBytes     int // with more unread bytes, a streamed response and reading from the client pause
+	StreamedBytes      int // unsent bytes of all streamed responses together
+	MinStreamedBytes   int // unsent bytes that each streamed response may have in any case
 	LowWaterBytes      int // with no more unread bytes than this, both resume
 	SendBufferBytes    int // size of a connection's send buffer in the operating system
 
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -79,6 +79,9 @@
 			reserved := l.Frontend.Connections * l.Frontend.ReservedInputBytes
 			checkAtMost(t, "reserved input of all connections", reserved, l.Frontend.BufferedBytes/2)
 			checkAtMost(t, "request of 1 KiB", 1<<10, l.Frontend.ReservedInputBytes)
+			checkAtMost(t, "streamed responses", int64(l.Frontend.StreamedBytes), memory/16)
+			least := int64(l.Backend.Connections * l.Frontend.MinStreamedBytes)
+			checkAtMost(t, "least of all streamed responses", least, memory/8)
 			checkAtMost(t, "inbox", int64(l.Transport.InboxBytes), memory/16)
 			checkAtMost(t, "response bytes", l.Backend.ResponseBytes, l.Frontend.UnreadBytes)
 			checkAtMost(t, "400 KiB value", 400<<10, l.Backend.ResponseBytes)
--- a/internal/limits/variants.go
+++ b/internal/limits/variants.go
@@ -50,6 +50,7 @@
 	l.Memory.GCPercent = 100
 	l.Frontend.BufferedBytes /= 2
 	l.Frontend.ReservedInputBytes /= 2
+	l.Frontend.StreamedBytes /= 2
 	l.Router.PendingWriteBytes /= 2
 	l.Audit.QueueRecords /= 2
 	l.Audit.QueueBytes /= 2
--- a/internal/pgwire/reader.go
+++ b/internal/pgwire/reader.go
@@ -70,6 +70,14 @@
 	r.start = 0
 }
 
+// ReleaseBuffer drops the buffer if all bytes in it were returned. Bytes that were returned stay valid.
+func (r *Reader) ReleaseBuffer() {
+	if r.Buffered() == 0 {
+		r.buf = nil
+		r.start = 0
+	}
+}
+
 // Buffered returns the number of bytes that have arrived and that Next or NextBytes has not returned yet.
 func (r *Reader) Buffered() int { return len(r.buf) - r.start }
 
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -46,6 +46,8 @@
 type FlowController interface {
 	// SetPaused pauses or resumes the reading of the response.
 	SetPaused(paused bool)
+	// LimitParts limits the size of the parts in which the response is read and forwarded, in bytes.
+	LimitParts(bytes int)
 }
 
 // Request is a request as a frontend received it. Points in time are on the event loop's clock.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -57,6 +57,7 @@
 	mutex           sync.Mutex // guards the fields below
 	inbox           []byte     // received and not yet processed by the loop
 	inboxFull       bool       // reading has stopped; the system may hold more bytes
+	inboxLimit      int        // see LimitInbox; 0 = that of the engine
 	dataPosted      bool       // a call of deliver has been posted to the loop
 	recordsArrivals bool       // set before anything is received
 	bytesRead       int64
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -156,6 +156,58 @@
 	}
 }
 
+// A connection that is paused, or whose inbox is limited, keeps little more than one read, and reports all bytes once
+// it is resumed: many of them must not take the memory of a full inbox each.
+func TestLimitedInboxKeepsLittle(t *testing.T) {
+	const limit, total = 4 << 10, 300_000
+	for _, limited := range []bool{false, true} {
+		l := eventloop.New()
+		e, err := New(l, 1024, 256<<10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go l.Run(func() {})
+		t.Cleanup(l.Stop)
+		t.Cleanup(e.Stop)
+		s := &collector{want: total, done: make(chan string, 9)}
+		accepted := make(chan *Conn, 1)
+		ln := listen(t, e, 64, func(c *Conn) Handler {
+			accepted <- c
+			return s
+		})
+		peer, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer peer.Close()
+		conn := <-accepted
+		most := readBufferBytes
+		runInLoop(l, func() {
+			conn.SetPaused(true)
+			if limited {
+				conn.LimitInbox(limit)
+				most = limit
+			}
+		})
+		go func() { _, _ = peer.Write(make([]byte, total)) }() // the bytes that are reported are counted below
+		kept := func() (n int, full bool) {
+			conn.mutex.Lock()
+			defer conn.mutex.Unlock()
+			return len(conn.inbox), conn.inboxFull
+		}
+		waitUntil(t, "reading has stopped", func() bool {
+			_, full := kept()
+			return full
+		})
+		time.Sleep(50 * time.Millisecond)
+		if n, _ := kept(); n > most {
+			t.Errorf("limited %v: %d bytes in the inbox of a paused connection, want at most %d", limited, n, most)
+		}
+		l.Post(func() { conn.SetPaused(false) })
+		expectEvent(t, s.done, "got")
+	}
+}
+
 // stopLoopOrConn pauses a connection, or keeps the loop busy, until resume is called.
 func stopLoopOrConn(l *eventloop.Loop, conn *Conn, pause bool) (resume func()) {
 	if pause {
--- a/internal/transport/read.go
+++ b/internal/transport/read.go
@@ -19,11 +19,13 @@
 	for {
 		// The poller closes a connection as soon as its peer has ended it. Data sent before the end must not be lost, so
 		// it is read even beyond the limit of the inbox.
-		if c.updateInboxFull() && !c.peerHasEnded() {
+		full, room := c.updateInboxFull()
+		if full && !c.peerHasEnded() {
 			c.recordUnreadArrivals()
 			return
 		}
-		n, err := c.socket.Read(buf)
+		piece := buf[:min(room, len(buf))]
+		n, err := c.socket.Read(piece)
 		if errors.Is(err, syscall.EINTR) {
 			continue
 		}
@@ -37,19 +39,35 @@
 			}
 			return
 		}
-		c.receive(buf[:n])
-		if n < len(buf) && !c.readsToEnd.Load() {
+		c.receive(piece[:n])
+		if n < len(piece) && !c.readsToEnd.Load() {
 			return // the poller reports data that arrives later
 		}
 	}
 }
 
-// updateInboxFull updates inboxFull and returns it.
-func (c *Conn) updateInboxFull() bool {
+// updateInboxFull updates inboxFull and returns it, with the most bytes to be read at once. While the connection is
+// paused any data fills the inbox: the rest stays in the system's buffer, so that many paused connections take little
+// memory.
+func (c *Conn) updateInboxFull() (full bool, readBytes int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.inboxFull = len(c.inbox) >= c.engine.inboxBytes
-	return c.inboxFull
+	limit := c.engine.inboxBytes
+	readBytes = readBufferBytes
+	if c.inboxLimit > 0 && c.inboxLimit < limit {
+		limit = c.inboxLimit
+		readBytes = min(readBytes, limit)
+	}
+	c.inboxFull = len(c.inbox) >= limit || c.paused && len(c.inbox) > 0
+	return c.inboxFull, readBytes
+}
+
+// LimitInbox lowers the number of unprocessed bytes beyond which the connection is not read, and reads at most as many
+// at once. 0 restores the limit that was given to New.
+func (c *Conn) LimitInbox(bytes int) {
+	c.mutex.Lock()
+	c.inboxLimit = bytes
+	c.mutex.Unlock()
 }
 
 // receive appends bytes to the inbox and posts deliver unless it has been posted already.
@@ -90,8 +108,9 @@
 	}
 }
 
-// SetPaused pauses or resumes the connection. While it is paused no data is reported, and reading stops once the inbox
-// is full. If the connection ends meanwhile, the data received before the end is still reported after the pause.
+// SetPaused pauses or resumes the connection. While it is paused no data is reported, and reading stops once there is
+// some in the inbox. If the connection ends meanwhile, the data received before the end is still reported after the
+// pause.
 func (c *Conn) SetPaused(paused bool) {
 	if c.closed || c.paused == paused {
 		return
