A successor removes the shared endpoint list at its start and is told the current one

Cause: Open took the list in the folder as known, and poll reported only what differs from it. A list that the old process wrote between the new one's lock and its first look was lost, and so was one that equals what an earlier successor had left.

Change: a successor removes the list before it takes its lock, starts without one, and reports whatever it finds from then on. A process that finds its list removed while it knows of a successor writes it again, so a second successor that starts before the end of the first one was noticed gets it too. Names and forms of the files are as before.

--- a/internal/frontend/response_stream.go
+++ b/internal/frontend/response_stream.go
@@ -84,8 +84,8 @@
 }
 
 // streamWaterMarks returns how many bytes of a streamed response may be unsent before its source is paused, and with
-// how many its source is resumed. All streamed responses share StreamedBytes: the more clients read slowly, the less waits
-// for each of them.
+// how many its source is resumed. All streamed responses share StreamedBytes: the more clients read slowly, the less
+// waits for each of them.
 func (f *Frontend) streamWaterMarks() (high, low int) {
 	lim := &f.limits.Frontend
 	share := lim.StreamedBytes / max(1, f.streamCount)
--- a/internal/hotrestart/folder.go
+++ b/internal/hotrestart/folder.go
@@ -119,8 +119,11 @@
 	return entries, err
 }
 
-func (f *folder) readDrained() bool {
-	_, err := os.Stat(f.file(drainedFile))
+func (f *folder) readDrained() bool { return f.exists(drainedFile) }
+
+// exists reports whether there is a file of the name in the folder.
+func (f *folder) exists(name string) bool {
+	_, err := os.Stat(f.file(name))
 	return err == nil
 }
 
--- a/internal/hotrestart/shared_state.go
+++ b/internal/hotrestart/shared_state.go
@@ -33,9 +33,10 @@
 	done         chan struct{}
 
 	// The fields below are used only by the goroutine of Watch.
-	lastState State // state that was last read from the folder or written to it
-	alone     bool  // whether no other process runs
-	reads     int   // how often the folder was read
+	lastState State  // state that was last read from the folder or written to it
+	alone     bool   // whether no other process runs
+	ownList   []byte // endpoint list that this process last shared with the process that runs now, nil = none
+	reads     int    // how often the folder was read
 }
 
 // Open opens the folder of the router that listens at the given address, creates it below root if needed, and returns
@@ -67,14 +68,29 @@
 	s.startedAlone = s.locks.serving.tryAcquire()
 	if s.startedAlone {
 		s.folder.removeTemporaryFiles()
+		s.read()
 	} else {
 		s.alone = false
+		s.requestEndpointList()
 		s.locks.successor.tryAcquire() // a second successor continues without the lock: only one can take over
 	}
-	s.read()
 	return s, s.lastState
 }
 
+// requestEndpointList reads the folder without its endpoint list, which may be outdated, and removes that list. The
+// serving process writes its own list once it knows of this process, or finds none. Whatever is in the file from now on
+// is reported to the Listener, even if it equals the list that was removed.
+func (s *SharedState) requestEndpointList() {
+	if err := s.folder.remove(endpointListFile); err != nil {
+		s.log.Warn("shared state not written", "file", endpointListFile, "error", err)
+		s.read()
+		return
+	}
+	s.read()
+	s.lastState.EndpointList = nil
+	s.folder.endpointListInfo = nil
+}
+
 // StartedAlone reports whether no other process was serving when this one started.
 func (s *SharedState) StartedAlone() bool { return s.startedAlone }
 
@@ -149,12 +165,17 @@
 // uses it if it can't reach discovery itself and would otherwise have only a list from before its start.
 func (s *SharedState) ShareEndpointList(list []byte) {
 	s.enqueue(func() {
-		if s.setFile(endpointListFile, list, true) {
-			s.lastState.EndpointList = list
-		}
+		s.ownList = list
+		s.writeEndpointList()
 	})
 }
 
+func (s *SharedState) writeEndpointList() {
+	if s.setFile(endpointListFile, s.ownList, true) {
+		s.lastState.EndpointList = s.ownList
+	}
+}
+
 // enqueue queues a job for the goroutine of Watch. It never blocks, so the caller never waits for a file.
 func (s *SharedState) enqueue(job func()) {
 	if s.folder == nil {
--- a/internal/hotrestart/shared_state_test.go
+++ b/internal/hotrestart/shared_state_test.go
@@ -247,3 +247,44 @@
 	}
 	b.Close()
 }
+
+// shareOnRequest shares a list whenever another process has started, as the router does, until the test ends.
+func (r *recorder) shareOnRequest(t *testing.T, s *SharedState, list string) {
+	t.Helper()
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case notify := <-r.posted:
+				notify()
+				if r.last == "alone" && !r.alone {
+					s.ShareEndpointList([]byte(list))
+				}
+			case <-done:
+				return
+			}
+		}
+	}()
+}
+
+// A successor gets the endpoint list of the serving process although an earlier successor has died and left the same
+// list in the folder, and whether or not the serving process has noticed that.
+func TestLaterSuccessorGetsTheSameEndpointList(t *testing.T) {
+	root := t.TempDir()
+	serving, _, notified := openProcess(t, root)
+	notified.shareOnRequest(t, serving, "current")
+	for i, pause := range []time.Duration{0, 100 * time.Millisecond, 0, 0, 100 * time.Millisecond} {
+		successor, state, notifiedSuccessor := openProcess(t, root)
+		if len(state.EndpointList) > 0 {
+			t.Errorf("successor %d starts with the list %q, which may be outdated", i, state.EndpointList)
+		}
+		notifiedSuccessor.wait(t, "endpoint list")
+		if notifiedSuccessor.list != "current" {
+			t.Errorf("successor %d got the list %q, want that of the serving process", i, notifiedSuccessor.list)
+		}
+		successor.Close()
+		time.Sleep(pause)
+	}
+	serving.Close()
+}
--- a/internal/hotrestart/watcher.go
+++ b/internal/hotrestart/watcher.go
@@ -67,9 +67,13 @@
 	before := s.lastState
 	s.read()
 	notifyChanges(before, s.lastState, notify)
+	if s.ownList != nil && !s.folder.exists(endpointListFile) {
+		s.writeEndpointList() // another successor has started, and the end of the one before it was not noticed
+	}
 	alone := s.locks.tryServeAlone()
 	if alone != s.alone {
 		s.alone = alone
+		s.ownList = nil
 		notify(func(l Listener) { l.AloneChanged(alone) })
 	}
 }
