Session reads see what another process of the router commits, until and after its end

Cause: the commits that a process remembers stay in its memory, and its successor required nothing of reads of sessions that it had not seen writing.

Change: the decision module is told whether another process serves (balance.OtherProcess). While one does, the read of a session must see all that was committed when it arrived; afterwards, all that was committed when the other process was last seen. A process that starts alone requires nothing, as before. Sharing the commits through the folder was not taken: the other process would learn of each up to 100 ms late.

Before, with the requirement taken out under the new tests: TestSessionReadsOfNewProcessSeeWritesOfTheOldOne "read own0: got answer ... want one of the primary: the replicas lag", TestSessionReadSeesWritesOfTheOtherProcess "reads while the other process serves went to map[b:22 c:38], want all at the primary".

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -117,6 +117,8 @@
 		b.handleSuspend(event)
 	case ZoneCapacity:
 		b.zoneCapacities[event.Zone] = event.Share
+	case OtherProcess:
+		b.sessionCommits.setOtherProcess(event.Serving, b.now)
 	case ClientDisconnected:
 		b.handleDisconnect(event)
 	case FirstByte:
--- a/balance/event.go
+++ b/balance/event.go
@@ -152,6 +152,10 @@
 	Share float64
 }
 
+// OtherProcess reports that another process of this router serves clients, or does so no longer. It commits writes of
+// sessions whose reads may come to this process.
+type OtherProcess struct{ Serving bool }
+
 // Wake reports that a Timer has fired.
 type Wake struct{}
 
@@ -163,4 +167,5 @@
 func (FirstByte) event()          {}
 func (Suspend) event()            {}
 func (ZoneCapacity) event()       {}
+func (OtherProcess) event()       {}
 func (Wake) event()               {}
--- a/balance/request.go
+++ b/balance/request.go
@@ -133,7 +133,7 @@
 	case !b.config.ClientSessionTokens && event.SessionID == 0:
 		return 0
 	case !b.config.ClientSessionTokens:
-		return b.sessionCommits.required(sessionInGroup{event.SessionID, event.Group})
+		return b.sessionCommits.requiredNow(sessionInGroup{event.SessionID, event.Group}, b.now)
 	case event.SinceSessionWrite > 0:
 		return b.now - event.SinceSessionWrite + commitRounding
 	}
--- a/balance/session_commits.go
+++ b/balance/session_commits.go
@@ -26,6 +26,9 @@
 type sessionCommits struct {
 	latest map[sessionInGroup]Time // position of the session's last commit
 	older  map[int64]Time          // by group: the newest of the commits that are no longer kept by session
+
+	otherServes bool // another process of this router may commit writes that this one does not learn of
+	otherUntil  Time // when that was last so; 0 = never
 }
 
 func newSessionCommits() sessionCommits {
@@ -48,6 +51,23 @@
 	return max(s.latest[key], s.older[key.group])
 }
 
+// requiredNow returns the position that a read of the session must see if it arrives now. It includes the commits of
+// another process of this router: all up to now while that serves, and all up to its end afterwards.
+func (s *sessionCommits) requiredNow(key sessionInGroup, now Time) Time {
+	if s.otherServes {
+		return now
+	}
+	return max(s.required(key), s.otherUntil)
+}
+
+// setOtherProcess records whether another process of this router serves clients.
+func (s *sessionCommits) setOtherProcess(serving bool, now Time) {
+	if s.otherServes {
+		s.otherUntil = now
+	}
+	s.otherServes = serving
+}
+
 // merge stops keeping a commit by session.
 func (s *sessionCommits) merge(key sessionInGroup) {
 	s.older[key.group] = s.required(key)
--- a/balance/session_read_test.go
+++ b/balance/session_read_test.go
@@ -32,7 +32,7 @@
 }
 
 // readersOf sends many reads of the session in the group, answers each, and returns how many each endpoint got. The
-// replicas answer without their position.
+// endpoints answer without their position.
 func (h *harness) readersOf(session, group int64) map[string]int {
 	h.t.Helper()
 	got := map[string]int{}
@@ -40,11 +40,14 @@
 		read := h.request("session")
 		read.SessionID = session
 		read.Group = group
-		for _, send := range actionsOf[Send](h.step(ms, read)) {
+		sends := actionsOf[Send](h.step(ms, read))
+		for len(sends) > 0 {
+			send := sends[0]
 			got[send.Endpoint]++
-			h.step(ms, AttemptResult{
+			answer := AttemptResult{
 				ID: send.ID, Endpoint: send.Endpoint, Status: StatusDone, Elapsed: ms, Finished: true,
-			})
+			}
+			sends = append(sends[1:], actionsOf[Send](h.step(ms, answer))...)
 		}
 	}
 	return got
@@ -124,3 +127,26 @@
 		t.Errorf("reads of the session went to %v, want none at b and c, which have not applied its write", got)
 	}
 }
+
+// While another process of the router serves, and afterwards until the replicas have caught up with its end, the read
+// of a session must see writes that went through that process.
+func TestSessionReadSeesWritesOfTheOtherProcess(t *testing.T) {
+	h := newReadyHarness(t, rememberingConfig())
+	h.step(ms, OtherProcess{Serving: true})
+	h.step(100 * ms)
+	h.reportAll("a")
+	if got := h.readersOf(5, 1); got["b"]+got["c"] > 0 || got["a"] == 0 {
+		t.Errorf("reads while the other process serves went to %v, want all at the primary", got)
+	}
+	ended := h.now + ms
+	h.step(ms, OtherProcess{Serving: false})
+	h.report("b", ended-ms)
+	h.report("c", ended)
+	if got := h.readersOf(5, 1); got["b"] > 0 || got["c"] == 0 {
+		t.Errorf("reads went to %v, want none at b, which has not caught up with the other process's end", got)
+	}
+	h.report("b", h.now)
+	if got := h.readersOf(5, 1); got["b"] == 0 {
+		t.Errorf("reads went to %v, want some at b, which has caught up", got)
+	}
+}
--- a/cmd/limeladder/hot_restart.go
+++ b/cmd/limeladder/hot_restart.go
@@ -44,6 +44,9 @@
 
 // applySharedState applies the known endpoints, suspensions and draining that earlier processes left.
 func (d *daemon) applySharedState(previous hotrestart.State) {
+	if d.hotRestart.otherProcess {
+		d.core.SetOtherProcess(true)
+	}
 	d.KnownEndpointsAdded(previous.KnownEndpoints)
 	for id := range previous.Suspended {
 		d.setSuspended(id, true, requestedByOtherProcess)
@@ -96,6 +99,7 @@
 func (d *daemon) AloneChanged(alone bool) {
 	d.log.Info("hot restart state changed", "alone", alone)
 	d.hotRestart.otherProcess = !alone
+	d.core.SetOtherProcess(!alone)
 	d.shareEndpointList()
 	d.limits = d.hotRestart.aloneLimits
 	if !alone {
--- a/cmd/limeladder/hot_restart_test.go
+++ b/cmd/limeladder/hot_restart_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"limeladder/balance"
 	"limeladder/internal/testserver"
 )
 
@@ -128,6 +129,33 @@
 	}
 }
 
+// A session that wrote through the old process must see its write through the new one, where the router remembers the
+// writes of sessions: the new process knows none of them, and reads at replicas might miss them.
+func TestSessionReadsOfNewProcessSeeWritesOfTheOldOne(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	servers, list, agent := newReplicaGroup(t, nil)
+	for _, replica := range servers[1:] {
+		replica.SetLag(time.Minute)
+	}
+	cfg := pushedConfig(t, agent, list...)
+	for i := range cfg.Balance.Classes {
+		if cfg.Balance.Classes[i].Name == "look" {
+			cfg.Balance.Classes[i].Consistency = balance.ConsistencySession
+		}
+	}
+	waitUntilReady(t, runDaemon(t, cfg))
+	newProcess := runDaemon(t, cfg)
+	waitUntilReady(t, newProcess)
+	client := testserver.Dial(t, newProcess.platformAddress())
+	for i := range 30 {
+		id := fmt.Sprint("own", i)
+		client.Send(queryMessage(statement(id, "look") + " WHERE code = 'session'"))
+		if answer := client.Until('Z'); answer.Value != servers[0].Addr {
+			t.Fatalf("read %s: got answer %+v, want one of the primary: the replicas lag", id, answer)
+		}
+	}
+}
+
 // On a socket that both processes share, the new one accepts no clients while it has only the list of its
 // configuration, and accepts them once it is ready.
 func TestNewProcessAcceptsNothingBeforeItIsReady(t *testing.T) {
--- a/internal/router/route.go
+++ b/internal/router/route.go
@@ -28,6 +28,12 @@
 	r.Step()
 }
 
+// SetOtherProcess records whether another process of this router serves clients. While one does, reads of sessions
+// without tokens see all writes, since this process does not learn which sessions have written through the other.
+func (r *Router) SetOtherProcess(serving bool) {
+	r.notifyBalancer(balance.OtherProcess{Serving: serving})
+}
+
 // Step lets the balancer, the failover queue and the site monitor process pending events, and performs the actions that
 // they return. The event loop calls it whenever it has delivered all input that had arrived.
 func (r *Router) Step() {
