Review 2, case 7: an Execute that waits for its Sync is lost at SIGTERM

Cause: Frontend.closeIdle closes a connection of the extended front as idle while its Execute waits for Sync. Change: case 7.

--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -27,6 +27,7 @@
 // cases are the cases by their numbers.
 var cases = map[string]func(*world) error{
 	"6": namesExhaustMemory,
+	"7": extendedShutdown,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
