--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(*world) error{
 	"6": namesExhaustMemory,
 	"7": extendedShutdown,
+	"8": storedListUndoesDrain,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
