Review 2, case 9: a member that restarts without a majority has no list

Cause: raft applies the entries of the log only once a leader has told which are committed, and nothing else reads them. Change: case 9.

--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -29,6 +29,7 @@
 	"6": namesExhaustMemory,
 	"7": extendedShutdown,
 	"8": storedListUndoesDrain,
+	"9": restartWithoutMajority,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
