--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -26,10 +26,11 @@
 
 // cases are the cases by their numbers.
 var cases = map[string]func(*world) error{
-	"6": namesExhaustMemory,
-	"7": extendedShutdown,
-	"8": storedListUndoesDrain,
-	"9": restartWithoutMajority,
+	"6":  namesExhaustMemory,
+	"7":  extendedShutdown,
+	"8":  storedListUndoesDrain,
+	"9":  restartWithoutMajority,
+	"10": successorNeverFound,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
