--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -26,6 +26,7 @@
 
 // cases are the cases by their numbers.
 var cases = map[string]func(*world) error{
+	"6":  halvesExhaustMemory,
 	"7":  namesExhaustMemory,
 	"8":  extendedShutdown,
 	"9":  storedListUndoesDrain,
