--- a/review/driver2/halves.go
+++ b/review/driver2/halves.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	badClients    = 400     // they connect by hundreds
+	badClients    = 300     // under a third of the descriptors
 	badStatement  = 500_000 // bytes; the router takes 512 KiB of a statement where it has 32 MiB
 	badClientStay = 4 * time.Second
 )
--- a/review/driver2/machine.go
+++ b/review/driver2/machine.go
@@ -34,13 +34,17 @@
 	id   string
 	addr string
 
-	mu      sync.Mutex
-	primary bool
-	hits    []hit
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+	primary  bool
+	noProbes bool // SHOW stats is answered with 42501
+	probes   int  // received
+	hits     []hit
 }
 
 func (w *world) newMachine(id string, primary bool) (*machine, error) {
-	m := &machine{w: w, id: id, addr: "127.0.0.1:0", primary: primary}
+	m := &machine{w: w, id: id, addr: "127.0.0.1:0", primary: primary, conns: map[net.Conn]bool{}}
 	return m, m.start()
 }
 
@@ -63,6 +67,7 @@
 	if err != nil {
 		return err
 	}
+	m.listener = listener
 	m.addr = listener.Addr().String()
 	go func() {
 		for {
@@ -70,12 +75,67 @@
 			if err != nil {
 				return
 			}
+			m.mu.Lock()
+			m.conns[conn] = true
+			m.mu.Unlock()
 			go m.serve(conn)
 		}
 	}()
 	return nil
 }
 
+// die ends the process of the machine: its connections are reset, and new ones are refused.
+func (m *machine) die() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.w.logf("%s: dies", m.id)
+	m.listener.Close()
+	for conn := range m.conns {
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+	clear(m.conns)
+}
+
+// promote makes the machine the primary.
+func (m *machine) promote() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.primary = true
+	m.w.logf("%s: is the primary now", m.id)
+}
+
+// restartAsReplica starts a machine that has died again; another one is the primary by then.
+func (m *machine) restartAsReplica() {
+	m.mu.Lock()
+	m.primary = false
+	m.mu.Unlock()
+	err := m.start()
+	m.w.logf("%s: is back as a replica, error %v", m.id, err)
+}
+
+// forbidProbes makes the machine answer SHOW stats with 42501.
+func (m *machine) forbidProbes() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noProbes = true
+}
+
+// countProbe counts a probe, and reports whether it is allowed.
+func (m *machine) countProbe() (allowed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.probes++
+	return !m.noProbes
+}
+
+// probesReceived returns how many probes the machine has received.
+func (m *machine) probesReceived() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.probes
+}
+
 // received returns the statements that the machine has received.
 func (m *machine) received() []hit {
 	m.mu.Lock()
@@ -94,7 +154,8 @@
 	machine *machine
 	sql     string
 	out     []byte
-	failed  bool // the rest up to Sync is skipped
+	failed  bool   // the rest up to Sync is skipped
+	long    string // a long value that is to be given
 }
 
 func (m *machine) serve(conn net.Conn) {
@@ -123,6 +184,13 @@
 				return
 			}
 			s.handle(message)
+			if s.long == "" {
+				continue
+			}
+			if s.streamLong(conn, s.long) != nil {
+				return
+			}
+			s.long = ""
 		}
 		if _, err := conn.Write(s.out); err != nil {
 			return
@@ -171,12 +239,18 @@
 		s.run(true)
 	}
 	s.failed = false
-	s.ready()
+	if s.long == "" {
+		s.ready()
+	}
 }
 
-// probe answers SHOW stats with the load report.
+// probe answers SHOW stats with the load report, or with 42501 where probes are not allowed.
 func (s *machineSession) probe() {
 	m := s.machine
+	if !m.countProbe() {
+		s.out = pgwire.AppendError(s.out, pgwire.Error{Code: "42501", Message: "no probes"})
+		return
+	}
 	role := 0
 	if m.isPrimary() {
 		role = 1
@@ -200,6 +274,10 @@
 	}
 	time.Sleep(statementWork)
 	m.note(comment, "")
+	if strings.HasPrefix(comment.ID, longPrefix) {
+		s.long = strings.Repeat("v", longValue)
+		return
+	}
 	if describe {
 		s.out = pgwire.Append(s.out, 'T', rowDescription("data"))
 	}
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -24,13 +24,13 @@
 // errBroken is wrapped by the error of a case whose rule was broken.
 var errBroken = errors.New("rule broken")
 
-// cases are the cases by their numbers.
+// cases are the cases by their numbers, and further plays by their names.
 var cases = map[string]func(*world) error{
 	"6":  halvesExhaustMemory,
-	"7":  namesExhaustMemory,
-	"8":  extendedShutdown,
-	"9":  storedListUndoesDrain,
-	"10": restartWithoutMajority,
+	"7":  answersBehind,
+	"8":  namesExhaustMemory,
+	"9":  extendedShutdown,
+	"10": storedListUndoesDrain,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/driver2/router.go
+++ b/review/driver2/router.go
@@ -24,6 +24,7 @@
 	instances int
 	known     *endpointList // nil = none
 	memoryMB  int
+	noProbes  bool // the settings allow no probes
 	starts    int
 	process   *exec.Cmd
 	ended     chan struct{}
@@ -100,7 +101,7 @@
 }
 
 func (r *router) writeFiles() error {
-	settings, err := json.Marshal(settingsOf(r.instances))
+	settings, err := json.Marshal(settingsOf(r.instances, !r.noProbes))
 	if err != nil {
 		return err
 	}
@@ -173,7 +174,7 @@
 }
 
 // settingsOf returns the settings of a small deployment, in the form of the example of the wire page.
-func settingsOf(instances int) map[string]any {
+func settingsOf(instances int, probes bool) map[string]any {
 	class := func(name, effect string, aim, giveUp time.Duration, importance, late float64) map[string]any {
 		return map[string]any{
 			"Name": name, "Effect": effect, "AimNs": aim.Nanoseconds(), "GiveUpNs": giveUp.Nanoseconds(),
@@ -202,7 +203,7 @@
 		"Limits": map[string]any{
 			"Cancelling": true, "ConnIdleNs": 15000000000, "ConnectTimeoutNs": 250000000, "CpuUsPerS": 400000,
 			"MaxOpen": 20000, "MaxRetryAfterNs": 2000000000, "MostTries": 10, "Multiplex": 1, "PeerMessages": false,
-			"Probes": true, "RetryAfter": false, "SecondCopies": false,
+			"Probes": probes, "RetryAfter": false, "SecondCopies": false,
 		},
 		"Prices":    map[string]any{"CrossZone": 0.014, "LateFail": 0.061, "Probe": 0.017, "Waste": 0.022},
 		"Reporting": map[string]any{"Fields": []string{"x0", "x1", "utilization"}, "How": "pull"},
