--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -26,11 +26,14 @@
 
 // cases are the cases by their numbers, and further plays by their names.
 var cases = map[string]func(*world) error{
-	"6":  halvesExhaustMemory,
-	"7":  answersBehind,
-	"8":  namesExhaustMemory,
-	"9":  extendedShutdown,
-	"10": storedListUndoesDrain,
+	"6":         halvesExhaustMemory,
+	"7":         answersBehind,
+	"8":         namesExhaustMemory,
+	"9":         extendedShutdown,
+	"10":        storedListUndoesDrain,
+	"majority":  restartWithoutMajority,
+	"successor": successorNeverFound,
+	"spool":     spoolLosesRecords,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
