An open unit of work is waited for at shutdown, and refused at its end

Cause: Frontend.closeIdle spared requests in flight and unread bytes, but did not ask the protocol handler whether a unit of work is open, as closeIfDraining and evictable do.

Change: an open unit keeps its connection until it ends or Shutdown.GuaranteedTime is over; then its client gets 53300. The second part also covers the old process of a hot restart, which exited over open units without a word.

Tests of internal/frontend and cmd/limeladder pass.

--- a/cmd/limeladder/shutdown.go
+++ b/cmd/limeladder/shutdown.go
@@ -52,8 +52,9 @@
 // finishConnections is called once no new connections are accepted, and closes those without a request. Clients may
 // send on every connection that stays open, so requests on these have to be answered by the deadline.
 func (d *daemon) finishConnections(deadline time.Duration) {
-	if !d.listeners.inheritedSocket {
-		for _, listener := range d.listeners.open {
+	for _, listener := range d.listeners.open {
+		listener.SetShutdownDeadline(deadline)
+		if !d.listeners.inheritedSocket {
 			listener.CloseIdleConnections()
 		}
 	}
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -10,6 +10,8 @@
 
 	closesIdle      bool // connections without a request in flight are closed too
 	closesIdleSince time.Duration
+
+	unitsEndAt time.Duration // open units of work are ended with an error from then on, 0 = they are not
 }
 
 // begun reports whether clients have to move to another router.
@@ -41,9 +43,27 @@
 	}
 }
 
+// SetShutdownDeadline sets the time at which units of work that are still open are ended with an error: the process is
+// about to exit, and would drop them without an answer.
+func (f *Frontend) SetShutdownDeadline(at time.Duration) { f.drain.unitsEndAt = at }
+
+// endOpenUnits ends the units of work that are open at the shutdown deadline. Nothing of them has run: a request of a
+// unit that is in flight is answered by the router at the same time.
+func (f *Frontend) endOpenUnits(now time.Duration) {
+	if f.drain.unitsEndAt == 0 || now < f.drain.unitsEndAt {
+		return
+	}
+	for c := range f.connections {
+		if !c.owesResponse() && !c.handler.Idle() {
+			c.closeWithError(errShuttingDown)
+		}
+	}
+}
+
 // CloseIdleConnections also closes the connections that have not sent a request; requests in flight still get their
 // responses. A new connection may still send its first command, and an incomplete message may become complete, within
-// UnusedIdle: a close would lose them.
+// UnusedIdle: a close would lose them. An open unit of work may be completed until the shutdown deadline: it may hold a
+// request that the client has sent and that waits for the end of its unit.
 func (f *Frontend) CloseIdleConnections() {
 	f.drain.closesIdle = true
 	f.drain.closesIdleSince = f.eventLoop.Now()
@@ -54,7 +74,7 @@
 	now := f.eventLoop.Now()
 	expired := now-f.drain.closesIdleSince > f.limits.Frontend.UnusedIdle
 	for c := range f.connections {
-		if c.owesResponse() {
+		if c.owesResponse() || !c.handler.Idle() {
 			continue
 		}
 		if expired || !c.requestMayArrive(now) {
--- a/internal/frontend/errors_test.go
+++ b/internal/frontend/errors_test.go
@@ -13,7 +13,7 @@
 	if got := asProtocolError(fmt.Errorf("at sweep: %w", errUnreadLimit)); got != errUnreadLimit {
 		t.Errorf("asProtocolError of a wrapped errUnreadLimit = %+v, want errUnreadLimit itself", got)
 	}
-	want := ProtocolError{pgwire.ProtocolViolation, "other"}
+	want := ProtocolError{SQLSTATE: pgwire.ProtocolViolation, Reason: "other"}
 	if got := asProtocolError(errors.New("other")); *got != want {
 		t.Errorf("asProtocolError of an untyped error = %+v, want a protocol violation with its text", got)
 	}
