Responses behind a long one are sent when it breaks off

Cause: within a row only the end of the connection shows the break, and it drops the responses behind. The router streamed a long response whatever was due behind it, and accepted requests behind one that was being streamed.

Change: with others behind it a long response is collected and sent once it is complete; an error replaces it if it breaks off, and its request's deadline holds. With none behind it is streamed, and nothing is accepted behind it. Collected responses share Frontend.CollectedBytes, reserved before they are read. Buffered responses are kept in chunks.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -82,6 +82,15 @@
 	return false
 }
 
+// BytesToCome returns how many bytes of the row that is being streamed have not been forwarded. It implements
+// router.FlowController.
+func (a *attempt) BytesToCome() int {
+	if a.connection == nil || a.connection.incoming.streamedRow == nil {
+		return 0
+	}
+	return a.connection.incoming.streamedRow.BytesLeft
+}
+
 // LimitParts limits how much of the response is read at a time. It implements router.FlowController.
 func (a *attempt) LimitParts(bytes int) {
 	if a.connection != nil {
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -32,12 +32,12 @@
 		c.handleViolation(fmt.Errorf("streamed row: %w", err))
 		return false
 	}
+	in.streamedRow = pgwire.NewRowStream(length)
 	if !in.streaming {
 		in.streaming = true
 		c.attempt.onResponseStarted(in.response, c.attempt)
 		in.response.Messages = nil
 	}
-	in.streamedRow = pgwire.NewRowStream(length)
 	c.attempt.onResponsePart(c.reader.NextBytes(messageHeaderBytes))
 	return true
 }
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -94,6 +94,7 @@
 		c.exclusive.id = ""
 	}
 	for _, s := range c.pipeline.removeAll() {
+		s.releaseCollected(s.collectedBytes)
 		if s.flow != nil {
 			s.flow.SetPaused(false)
 		}
--- a/internal/frontend/extendedquery/response.go
+++ b/internal/frontend/extendedquery/response.go
@@ -26,6 +26,9 @@
 // ResponsePart implements router.Client.
 func (s *session) ResponsePart(data []byte) { s.conn.WriteResponsePart(data) }
 
+// WithholdsResponse implements router.Client.
+func (s *session) WithholdsResponse() bool { return false }
+
 // ResponseTruncated implements router.Client.
 func (s *session) ResponseTruncated() { s.conn.TruncateResponse() }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -44,6 +44,7 @@
 
 	connections       map[*Conn]struct{}
 	memory            memoryUse
+	collector         collector
 	streamCount       int // connections to which a response is being streamed
 	drain             drainState
 	ready             bool
--- a/internal/frontend/message_reading.go
+++ b/internal/frontend/message_reading.go
@@ -78,9 +78,10 @@
 	return !c.applyBackpressure()
 }
 
-// waitsForResponse reports whether the connection waits for a response before it handles another message.
+// waitsForResponse reports whether the connection waits for a response before it handles another message. Behind a
+// response that is being streamed no request is accepted, since it could not be answered if that response breaks off.
 func (c *Conn) waitsForResponse() bool {
-	if c.exclusive.inFlight() || c.lifetime.closeWhenAnswered {
+	if c.exclusive.inFlight() || c.lifetime.closeWhenAnswered || c.streamsResponse() {
 		return true
 	}
 	return c.pipeline.newestQueued() || c.pipeline.backlogBytes > c.frontend.limits.Frontend.HighWaterBytes
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -72,13 +72,15 @@
 	withoutRequest bool   // the data answers no request, for example a readiness check or a protocol error
 	requestID      string // the router's id of the request, "" = not submitted, or already answered
 
-	statementBytes int    // memory reserved for the statement
-	reservedBytes  int    // memory reserved for the response while earlier ones are pending
-	buffered       []byte // the response, or the part that has arrived, while earlier ones are pending
-	bufferedBytes  int    // memory counted for buffered, including slotOverheadBytes
-
-	flow    router.FlowController // source of a streamed response
-	started bool                  // part of the response has been sent
+	statementBytes int            // memory reserved for the statement
+	reservedBytes  int            // memory reserved for the response while earlier ones are pending
+	buffered       responseBuffer // the response, or the part that has arrived, while it can't be sent
+	bufferedBytes  int            // memory counted for buffered, including slotOverheadBytes
+	collectedBytes int            // memory reserved for a response that is collected
+
+	flow     router.FlowController // source of a streamed response
+	withheld bool                  // the response is collected, and nothing of it has been sent
+	started  bool                  // part of the response has been sent
 }
 
 type slotState int
@@ -193,26 +195,43 @@
 // isFirst reports whether no earlier response is pending.
 func (s *slot) isFirst() bool { return !s.conn.pipeline.empty() && s.conn.pipeline.slots[0] == s }
 
-// buffer appends data to the response while earlier responses are pending.
+// buffer appends data to the response while it can't be sent. The memory of a collected response is reserved already.
 func (s *slot) buffer(data []byte) {
 	bytes := len(data)
-	if len(s.buffered) == 0 {
+	if s.buffered.empty() {
 		bytes += slotOverheadBytes
 	}
-	s.buffered = append(s.buffered, data...)
+	s.buffered.append(data)
+	if s.withheld {
+		return
+	}
 	s.bufferedBytes += bytes
 	s.conn.pipeline.backlogBytes += bytes
 	s.conn.memory.add(bytes)
 }
 
-// takeBuffered returns the buffered data and releases its memory.
-func (s *slot) takeBuffered() []byte {
-	data := s.buffered
-	s.buffered = nil
-	s.conn.pipeline.backlogBytes -= s.bufferedBytes
-	s.conn.Release(s.bufferedBytes)
-	s.bufferedBytes = 0
-	return data
+// takeChunk returns the next part of the buffered data and releases its memory.
+func (s *slot) takeChunk() []byte {
+	chunk := s.buffered.takeChunk()
+	buffered := min(len(chunk), s.bufferedBytes)
+	collected := min(len(chunk), s.collectedBytes)
+	if s.buffered.empty() {
+		buffered = s.bufferedBytes
+		collected = s.collectedBytes
+	}
+	s.bufferedBytes -= buffered
+	s.conn.pipeline.backlogBytes -= buffered
+	s.conn.Release(buffered)
+	s.releaseCollected(collected)
+	return chunk
+}
+
+// dropBuffered drops the buffered data and releases its memory.
+func (s *slot) dropBuffered() {
+	for !s.buffered.empty() {
+		s.takeChunk()
+	}
+	s.releaseCollected(s.collectedBytes) // of a response that waits for room
 }
 
 // Disconnected implements router.Client.
@@ -223,7 +242,7 @@
 	s.conn.commits.record(s.request.Session, s.request.Group, position)
 }
 
-// complete ends the response with data, which is the whole response unless part of it was sent before.
+// complete ends the response with data, which is the whole response unless part of it was sent or collected before.
 func (s *slot) complete(data []byte) {
 	c := s.conn
 	c.Release(s.statementBytes + s.reservedBytes)
@@ -235,9 +254,14 @@
 	if c.lifetime.closed {
 		return
 	}
-	if s.mustBuffer() {
+	switch {
+	case s.withheld:
+		s.buffer(data)
+		s.withheld = false
+		c.writeAnswered()
+	case s.mustBuffer():
 		s.buffer(data)
-	} else {
+	default:
 		c.setFlow(nil)
 		c.pipeline.removeFirst()
 		c.write(data)
@@ -252,22 +276,31 @@
 	return !s.isFirst() || !s.started && s.conn.applyBackpressure()
 }
 
-// startResponse starts a streamed response. Its source is paused while earlier responses are pending, and while the
-// client has too much unread data.
+// startResponse starts a response that arrives in parts. Its source is paused while earlier responses are pending, and
+// while the client has too much unread data.
 func (s *slot) startResponse(data []byte, flow router.FlowController) {
 	s.flow = flow
-	if s.isFirst() && !s.conn.applyBackpressure() {
-		s.send(data)
+	s.buffer(data)
+	if !s.isFirst() || s.conn.applyBackpressure() {
+		flow.SetPaused(true)
 		return
 	}
-	flow.SetPaused(true)
-	s.buffer(data)
+	s.forwardStarted()
 }
 
-// send sends the part of a streamed response that has arrived, once the response is the first.
-func (s *slot) send(data []byte) {
+// forwardStarted begins to send or to collect the first response of the pipeline, of which a part has arrived.
+func (s *slot) forwardStarted() {
+	if s.mustCollect() {
+		s.collect()
+		return
+	}
+	c := s.conn
 	s.started = true
-	s.conn.StartResponse(data, s.flow)
+	flow := s.flow
+	for !s.buffered.empty() && !c.lifetime.closed {
+		c.StartResponse(s.takeChunk(), flow)
+	}
+	c.accountInput()
 }
 
 // ResponsePart implements router.Client. Data that was in transit when the source was paused is buffered.
@@ -281,15 +314,15 @@
 	}
 }
 
-// truncate ends a streamed response that will not be completed. It closes the connection, since nothing else can signal
-// the truncation to the client. If nothing of the response has been sent yet, the given error replaces it instead.
+// truncate ends a response that arrives in parts and will not be completed. It closes the connection if a part has been
+// sent, since nothing else can signal the truncation to the client. Otherwise the given error replaces the response.
 func (s *slot) truncate(replacement []byte) {
 	s.requestID = ""
 	if s.conn.lifetime.closed || s.started {
 		s.conn.TruncateResponse()
 		return
 	}
-	s.takeBuffered()
+	s.dropBuffered()
 	s.complete(replacement)
 }
 
@@ -299,12 +332,14 @@
 func (c *Conn) writeAnswered() {
 	for c.mayWriteFirst() {
 		s := c.pipeline.slots[0]
-		data := s.takeBuffered()
 		if s.state != slotAnswered {
-			c.sendUnanswered(s, data)
+			c.sendUnanswered(s)
 			return
 		}
-		c.pipeline.removeFirst()
+		data := s.takeChunk()
+		if s.buffered.empty() {
+			c.pipeline.removeFirst()
+		}
 		c.write(data)
 	}
 }
@@ -314,14 +349,14 @@
 }
 
 // sendUnanswered sends the part that has arrived of the first response, if it is a streamed one that waited for others.
-func (c *Conn) sendUnanswered(s *slot, data []byte) {
+func (c *Conn) sendUnanswered(s *slot) {
 	c.Release(s.reservedBytes)
 	s.reservedBytes = 0
-	if s.flow == nil || s.started {
+	if s.flow == nil || s.started || s.withheld {
 		return
 	}
-	s.send(data)
-	if !c.lifetime.closed {
+	s.forwardStarted()
+	if s.started && !c.lifetime.closed {
 		c.resumeFlow(s.flow)
 	}
 }
--- a/internal/frontend/response_stream.go
+++ b/internal/frontend/response_stream.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// streamsResponse reports whether a response is being streamed to the client.
+func (c *Conn) streamsResponse() bool { return c.output.flow != nil }
+
 // setFlow sets the source of the response that is being streamed, nil = none.
 func (c *Conn) setFlow(flow router.FlowController) {
 	if c.output.flow != nil {
--- a/internal/limits/compute.go
+++ b/internal/limits/compute.go
@@ -89,6 +89,7 @@
 		HighWaterBytes:     128 * kib,
 		StreamedBytes:      memoryMiB * mib / 16,
 		MinStreamedBytes:   8 * kib,
+		CollectedBytes:     max(memoryMiB*mib/8, maxRowBytes), // the longest value has to fit
 		LowWaterBytes:      32 * kib,
 		SendBufferBytes:    64 * kib,
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -47,6 +47,7 @@
 	HighWaterBytes     int // with more unread bytes, a streamed response and reading from the client pause
 	StreamedBytes      int // unsent bytes of all streamed responses together
 	MinStreamedBytes   int // unsent bytes that each streamed response may have in any case
+	CollectedBytes     int // long responses of all connections that are kept until they are complete
 	LowWaterBytes      int // with no more unread bytes than this, both resume
 	SendBufferBytes    int // size of a connection's send buffer in the operating system
 
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -19,6 +19,10 @@
 	// ResponsePart delivers the next piece of the long row.
 	ResponsePart(part []byte)
 
+	// WithholdsResponse reports whether the client keeps a response that has started until it is complete, so that no
+	// part of it has been sent yet. The request's deadline applies to such a response as to any other.
+	WithholdsResponse() bool
+
 	// ResponseTruncated is called when the forwarded response stays incomplete. The client must be able to notice it.
 	ResponseTruncated()
 
@@ -46,6 +50,8 @@
 type FlowController interface {
 	// SetPaused pauses or resumes the reading of the response.
 	SetPaused(paused bool)
+	// BytesToCome returns how many bytes of the response are known to follow.
+	BytesToCome() int
 	// LimitParts limits the size of the parts in which the response is read and forwarded, in bytes.
 	LimitParts(bytes int)
 }
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -96,6 +96,9 @@
 // expire handles the deadline of a request.
 func (r *Router) expire(req *request) {
 	req.timer = nil
+	if req.attempts.responseStarted && !req.client.WithholdsResponse() {
+		return
+	}
 	if req.attempts.isInFlight() {
 		r.cancelAttempt(req, balance.StatusTimedOut)
 		return
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -22,11 +22,11 @@
 	r.release(req)
 }
 
-// forwardResponseStart starts forwarding a response that has begun to arrive. From then on neither the request's
-// deadline nor the balancer ends the attempt, and no other attempt replaces it, so that the response is not truncated.
+// forwardResponseStart starts forwarding a response that has begun to arrive. From then on neither the balancer nor,
+// unless the client withholds the response, the request's deadline ends the attempt, and no other attempt replaces it,
+// so that the response is not truncated.
 func (r *Router) forwardResponseStart(req *request, number int, response Response, flow FlowController) {
 	req.attempts.responseStarted = true
-	req.stopTimer()
 	r.notifyBalancer(balance.FirstByte{ID: req.id, Attempt: number})
 	if !req.finished {
 		req.client.ResponseStarted(response, flow)
--- a/internal/router/forward_test.go
+++ b/internal/router/forward_test.go
@@ -57,3 +57,21 @@
 		})
 	}
 }
+
+// A response that its client withholds is ended at the request's deadline, since the client has seen nothing of it. A
+// server that writes a long response slowly would otherwise have it answered seconds after its time.
+func TestWithheldResponseEndsAtDeadline(t *testing.T) {
+	router, peers, loop := newTestRouter(t)
+	client := &fakeClient{loop: loop, withholds: true}
+	runFor(router, loop, 400*time.Millisecond, func() {
+		req := Request{Class: readClass, ClientTimeout: 120 * time.Millisecond, ReceivedAt: loop.Now(), Job: 1}
+		accept(t, router, req, client)
+		loop.AfterFunc(20*time.Millisecond, func() { peers.attempts[0].OnResponseStarted(nil, nil) })
+	})
+	if client.truncated != 1 || client.answers() != 0 {
+		t.Errorf("got %+v, want one truncated response and no other answer", client)
+	}
+	if len(peers.attempts) != 1 || router.InFlight() != 0 {
+		t.Errorf("got %d attempts, %d in flight, want 1 and 0", len(peers.attempts), router.InFlight())
+	}
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -14,7 +14,7 @@
 	id       string // assigned by the router, never reused
 	client   Client
 	answerBy time.Duration    // latest time at which the answer may be sent
-	timer    *eventloop.Timer // fires at answerBy; nil once it has fired or a response has started
+	timer    *eventloop.Timer // fires at answerBy; nil once it has fired
 	finished bool             // answered, or its client has disconnected
 
 	queueable bool // the failover queue accepts its class
--- a/internal/simulation/fleet/client.go
+++ b/internal/simulation/fleet/client.go
@@ -163,6 +163,9 @@
 // Disconnected implements router.Client. The model knows a disconnect at once.
 func (q *request) Disconnected(bool) bool { return q.disconnected }
 
+// WithholdsResponse implements router.Client.
+func (q *request) WithholdsResponse() bool { return false }
+
 // ResponseStarted implements router.Client. It does nothing, because responses of the model have one part.
 func (q *request) ResponseStarted(router.Response, router.FlowController) {}
 func (q *request) ResponsePart([]byte)                                    {}
