A client that sends at full speed gets a bounded turn of the event loop

Cause: readMessages handled all that had come of a connection, up to 10,000 small messages of one inbox with a write to the socket each, before any other connection or endpoint had its turn.

Change: a connection handles TurnMessages messages or TurnBytes bytes in one turn; the rest is continued in the background, one connection each time all other queued functions have run (eventloop.Loop.PostBackground).

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -21,10 +21,11 @@
 	wake      chan struct{}
 	timers    timerHeap // used on the loop's goroutine only
 
-	mutex   sync.Mutex // guards the fields below
-	queue   []func()
-	urgent  []func()
-	stopped bool // written on the loop's goroutine
+	mutex      sync.Mutex // guards the fields below
+	queue      []func()
+	urgent     []func()
+	background []func()
+	stopped    bool // written on the loop's goroutine
 
 	hasUrgent atomic.Bool // whether urgent is not empty
 }
@@ -67,6 +68,16 @@
 	l.signal()
 }
 
+// PostBackground queues a function behind all those of Post: one of them is called each time all that was queued by
+// Post has been called. It is for the continuation of work that one peer can make arbitrarily long, so that others do
+// not wait for it. Any goroutine may call it.
+func (l *Loop) PostBackground(f func()) {
+	l.mutex.Lock()
+	l.background = append(l.background, f)
+	l.mutex.Unlock()
+	l.signal()
+}
+
 // signal wakes Run.
 func (l *Loop) signal() {
 	select {
@@ -134,14 +145,30 @@
 		t.callback()
 	}
 	l.runUrgent()
+	l.runBackground()
 	return batch
 }
 
+// runBackground calls the background function that was queued first, if there is one.
+func (l *Loop) runBackground() {
+	l.mutex.Lock()
+	var next func()
+	if len(l.background) > 0 {
+		next = l.background[0]
+		l.background[0] = nil
+		l.background = l.background[1:]
+	}
+	l.mutex.Unlock()
+	if next != nil {
+		next()
+	}
+}
+
 // pendingAndStopped reports whether posted functions are pending, and whether the loop was stopped.
 func (l *Loop) pendingAndStopped() (more, stopped bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return len(l.queue)+len(l.urgent) > 0, l.stopped
+	return len(l.queue)+len(l.urgent)+len(l.background) > 0, l.stopped
 }
 
 // Run runs the loop until Stop. It calls afterStep each time it has called the queued functions and the due timers.
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -93,3 +93,22 @@
 		t.Fatalf("calls %v, next timer at %v; want 1 to 3 and no timer", got, next)
 	}
 }
+
+// Background functions run one at a time, each after all other functions that were queued by then.
+func TestBackgroundFunctionsWaitForOthers(t *testing.T) {
+	l := New()
+	var order []string
+	add := func(name string) func() { return func() { order = append(order, name) } }
+	l.PostBackground(func() {
+		add("first")()
+		l.Post(add("between"))
+	})
+	l.PostBackground(add("second"))
+	l.Post(add("queued"))
+	l.Post(add("queued"))
+	l.PostBackground(l.Stop)
+	l.Run(func() {})
+	if want := []string{"queued", "queued", "first", "between", "second"}; !slices.Equal(order, want) {
+		t.Fatalf("functions ran in the order %v, want %v", order, want)
+	}
+}
--- a/internal/frontend/accounting.go
+++ b/internal/frontend/accounting.go
@@ -88,7 +88,7 @@
 		c.frontend.sweepSoon() // the sweep checks whether memory is available again
 	}
 	tooFarAhead := pipelined && c.memory.unparsedBytes > c.frontend.limits.Frontend.PipelinedBytes
-	c.socket.SetPaused(waits || tooFarAhead || c.streamsResponse())
+	c.socket.SetPaused(waits || tooFarAhead || c.input.yielded || c.streamsResponse())
 }
 
 // trackPartialMessage records when the first part of an incomplete message arrived. Time spent waiting for an earlier
--- a/internal/frontend/message_reading.go
+++ b/internal/frontend/message_reading.go
@@ -11,6 +11,9 @@
 type messageInput struct {
 	reader       *pgwire.Reader
 	reading      bool          // readMessages is running
+	yielded      bool          // the rest of the messages that have arrived is handled in the background
+	turnMessages int           // messages that were handled in this turn of the event loop
+	turnBytes    int           // their length
 	messageBytes int           // length of the newest message's body
 	fedBytes     int64         // bytes given to the reader since the connection was accepted
 	partialSince time.Duration // when the first part of an incomplete message arrived, 0 = no message is incomplete
@@ -42,20 +45,48 @@
 	c.accountInput()
 }
 
+// continueReading handles further messages of a client that has sent more than is handled in one turn.
+func (c *Conn) continueReading() {
+	c.input.yielded = false
+	if c.lifetime.closed {
+		return
+	}
+	c.readMessages()
+	c.accountInput()
+	c.closeIfDraining()
+}
+
+// yield reports whether the connection has used up its turn of the event loop. The rest of its messages is handled in
+// the background then: a client that sends at full speed must not delay those of other clients.
+func (c *Conn) yield() bool {
+	lim := &c.frontend.limits.Frontend
+	if c.input.turnMessages < lim.TurnMessages && c.input.turnBytes < lim.TurnBytes {
+		return false
+	}
+	c.input.yielded = true
+	c.frontend.eventLoop.PostBackground(c.continueReading)
+	return true
+}
+
 // ReceivedAt returns when the last byte of the newest message arrived at this machine. The client's deadline starts
 // then, however long the message has waited for earlier ones.
 func (c *Conn) ReceivedAt() time.Duration {
 	return c.socket.ArrivedAt(c.input.fedBytes - int64(c.input.reader.Buffered()))
 }
 
-// readMessages handles the messages that have arrived, until a request has to wait.
+// readMessages handles the messages that have arrived, until a request has to wait or the connection's turn is over.
 func (c *Conn) readMessages() {
 	if c.input.reading {
 		return // a request was answered synchronously: the loop below continues after it
 	}
 	c.input.reading = true
 	defer func() { c.input.reading = false }()
+	c.input.turnMessages = 0
+	c.input.turnBytes = 0
 	for c.mayReadMessage() {
+		if c.input.reader.Buffered() > 0 && c.yield() {
+			return
+		}
 		message, ok, err := c.input.reader.Next()
 		if err != nil {
 			c.closeWithErrorInOrder(asProtocolError(err))
@@ -72,7 +103,7 @@
 
 // mayReadMessage reports whether the next message may be handled. No request is started for a disconnected client.
 func (c *Conn) mayReadMessage() bool {
-	if c.lifetime.closed || c.waitsForResponse() || c.socket.PeerClosed(false) {
+	if c.lifetime.closed || c.input.yielded || c.waitsForResponse() || c.socket.PeerClosed(false) {
 		return false
 	}
 	return !c.applyBackpressure()
@@ -91,6 +122,8 @@
 	c.input.partialSince = 0
 	c.input.waitingSince = 0
 	c.input.messageBytes = len(message.Body)
+	c.input.turnMessages++
+	c.input.turnBytes += len(message.Body)
 	c.lifetime.lastActiveAt = c.frontend.eventLoop.Now()
 	c.lifetime.commandSeen = c.lifetime.started
 	c.lifetime.lastInvalid = false
--- a/internal/limits/compute.go
+++ b/internal/limits/compute.go
@@ -79,6 +79,8 @@
 		ConcurrentRequests: max(4, free/16),
 		PreparedStatements: 1024,
 
+		TurnMessages:   16,
+		TurnBytes:      64 * kib,
 		StartupBytes:   10_000,
 		MessageBytes:   largestMessage(memoryMiB),
 		PipelinedBytes: 64 * kib,
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,6 +38,8 @@
 	ConcurrentRequests int // requests in flight on one connection
 	PreparedStatements int // prepared statements and portals of one connection
 
+	TurnMessages       int // messages of one connection that are handled before other connections have their turn
+	TurnBytes          int // total length of these messages, not counting the last one
 	StartupBytes       int // length of a startup message
 	MessageBytes       int // length of any other message
 	PipelinedBytes     int // bytes that a client may send ahead while its request is in flight
--- a/internal/testserver/server.go
+++ b/internal/testserver/server.go
@@ -1,6 +1,7 @@
 package testserver
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"strings"
@@ -23,6 +24,8 @@
 	Trailing        []byte                     // sent after the response, in a segment of its own
 	Pause           time.Duration              // wait between response and Trailing, at least segmentPause
 	CloseAfter      bool                       // close the connection after the response
+	ValueBytes      int                        // bytes of the value in the response, 0 = as SetResponseSize says
+	WritePause      time.Duration              // wait after each piece of pieceBytes of the response
 }
 
 // DB is a fake endpoint: a database server that answers statements and records which ones it received and executed.
@@ -204,11 +207,12 @@
 	return time.Now().Add(-d.lag)
 }
 
-// value returns the value of each response: the endpoint's address, padded with spaces to responseSize.
-func (d *DB) value() string {
+// value returns the value of a response: the endpoint's address, padded with spaces to the given number of bytes, or to
+// responseSize if that is 0.
+func (d *DB) value(bytes int) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.Addr + strings.Repeat(" ", max(0, d.responseSize-len(d.Addr)))
+	return d.Addr + strings.Repeat(" ", max(0, cmp.Or(bytes, d.responseSize)-len(d.Addr)))
 }
 
 func (d *DB) decide(typ byte, id string) Act {
--- a/internal/testserver/session.go
+++ b/internal/testserver/session.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -160,7 +161,7 @@
 		return true, false
 	}
 	if code == "" {
-		s.appendResult(st.message)
+		s.appendResult(st)
 		return false, false
 	}
 	failure := pgwire.Error{Code: code, Message: "told to", Fatal: st.act.Fatal}
@@ -192,7 +193,8 @@
 }
 
 // appendResult appends the response to a message that did not fail.
-func (s *session) appendResult(m pgwire.Message) {
+func (s *session) appendResult(st *statement) {
+	m := st.message
 	switch m.Type {
 	case 'P':
 		s.response = pgwire.Append(s.response, '1')
@@ -205,9 +207,9 @@
 		s.response = pgwire.Append(s.response, 'T', dataColumn)
 	case 'Q':
 		s.response = pgwire.Append(s.response, 'T', dataColumn)
-		s.appendRow("SELECT 1", s.db.value())
+		s.appendRow("SELECT 1", s.db.value(st.act.ValueBytes))
 	case 'E':
-		s.appendRow("SELECT 1", s.db.value())
+		s.appendRow("SELECT 1", s.db.value(st.act.ValueBytes))
 	}
 }
 
@@ -247,6 +249,24 @@
 	s.response = pgwire.AppendReady(s.response)
 }
 
+// pieceBytes is the size of the pieces of a response that is sent slowly.
+const pieceBytes = 64 << 10
+
+// write sends data, with a pause after each piece if pause is above 0.
+func (s *session) write(data []byte, pause time.Duration) error {
+	if pause == 0 {
+		_, err := s.conn.Write(data)
+		return err
+	}
+	for piece := range slices.Chunk(data, pieceBytes) {
+		if _, err := s.conn.Write(piece); err != nil {
+			return err
+		}
+		time.Sleep(pause)
+	}
+	return nil
+}
+
 // flush sends the response as act demands. It returns false if the connection is to be closed.
 func (s *session) flush(act Act) bool {
 	if s.truncate > 0 {
@@ -257,7 +277,7 @@
 	if act.Corrupt != nil {
 		s.response = act.Corrupt(s.response)
 	}
-	if _, err := s.conn.Write(s.response); err != nil {
+	if err := s.write(s.response, act.WritePause); err != nil {
 		return false
 	}
 	if act.CloseAfter {
