What clients send is bounded over all connections, and short requests keep a place

Cause: bounds for each connection and none for all (inboxes of 64 KiB, buffers grown to the length of a message, unread bytes of clients that had gone, ended connections in the loop's queue, fields of a comment), and memory that was not counted (buffers behind a request in flight, statements of answered requests, names of prepared statements). Short statements had no place where long ones filled the memory.

Change: inboxes share InboxTotalBytes; a reader's buffer is at most twice what has come, is counted by its capacity and released when empty; a connection's place is free once the loop has seen its end; a comment has at most 64 fields; prepared statements and portals count whole; ReservedInputBytes of statements of each connection are always accepted.

TestNamesOfPreparedStatementsCount fails without its part ("20 names of 100,000 bytes are kept"); the other new tests name limits that did not exist.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.engine.LimitInboxes(d.limits.Transport.InboxTotalBytes, d.limits.Transport.LeastInboxBytes)
 	d.recording, err = startAuditRecording(d.loop, d.limits, deploy, cfg.Name, cfg.SeedValue, log)
 	if err != nil {
 		return nil, err
--- a/internal/frontend/accounting.go
+++ b/internal/frontend/accounting.go
@@ -17,7 +17,7 @@
 // byteAccount is the memory in use by one connection.
 type byteAccount struct {
 	total              *memoryUse
-	unparsedBytes      int  // received and not parsed yet
+	unparsedBytes      int  // memory of the reader, for bytes that are received and not parsed yet
 	countedAsPipelined bool // unparsedBytes count as pipelined bytes, not as buffered ones
 	reservedBytes      int  // reserved by the handler, for requests in flight and for buffered responses
 }
@@ -49,14 +49,16 @@
 	b.add(-b.reservedBytes)
 }
 
-// Reserve counts bytes to be kept for the client, and reports whether the memory limit permits them.
+// Reserve counts bytes to be kept for the client, and reports whether the memory limit permits them. It permits
+// ReservedInputBytes of each connection in any case: a short request must be answered, whatever other clients occupy.
 func (c *Conn) Reserve(bytes int) bool {
 	if c.lifetime.closed {
 		return false
 	}
 	limit := c.frontend.limits.Frontend.BufferedBytes
 	memory := &c.frontend.memory
-	if memory.used(limit)+bytes > limit {
+	isShort := c.memory.reservedBytes+bytes <= c.frontend.limits.Frontend.ReservedInputBytes
+	if !isShort && memory.used(limit)+bytes > limit {
 		memory.refusedBytes = max(memory.refusedBytes, bytes)
 		c.frontend.sweepSoon() // the sweep rejects incomplete messages that occupy the memory
 		return false
@@ -80,14 +82,15 @@
 		return
 	}
 	pipelined := c.owesResponse() || c.output.backpressured
-	c.memory.setUnparsed(c.input.reader.Buffered(), pipelined)
+	c.input.reader.Compact()
+	c.memory.setUnparsed(c.input.reader.HeldBytes(), pipelined)
 	c.trackPartialMessage(pipelined)
 	waits := c.memoryExhausted()
 	if waits {
 		c.input.trackMemoryWait(c.frontend.eventLoop.Now())
 		c.frontend.sweepSoon() // the sweep checks whether memory is available again
 	}
-	tooFarAhead := pipelined && c.memory.unparsedBytes > c.frontend.limits.Frontend.PipelinedBytes
+	tooFarAhead := pipelined && c.input.reader.Buffered() > c.frontend.limits.Frontend.PipelinedBytes
 	c.socket.SetPaused(waits || tooFarAhead || c.input.yielded || c.streamsResponse())
 }
 
@@ -95,7 +98,7 @@
 // response does not count as a stall of the client.
 func (c *Conn) trackPartialMessage(pipelined bool) {
 	switch {
-	case pipelined || c.memory.unparsedBytes == 0:
+	case pipelined || c.input.reader.Buffered() == 0:
 		c.input.partialSince = 0
 	case !c.input.partial():
 		c.input.partialSince = c.frontend.eventLoop.Now()
--- a/internal/frontend/extendedquery/memory_shortage_test.go
+++ b/internal/frontend/extendedquery/memory_shortage_test.go
@@ -1,6 +1,7 @@
 package extendedquery
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -62,3 +63,35 @@
 			db.Runs("long"), db.Runs("early"))
 	}
 }
+
+// The names of prepared statements were not counted, so clients could take a router over its memory with them. A client
+// that prepares more than there is memory for is told so, and can go on once it has closed some.
+func TestNamesOfPreparedStatementsCount(t *testing.T) {
+	lim := defaultLimits()
+	lim.Frontend.BufferedBytes = 1 << 20
+	server := startWith(t, lim, testserver.NewDB(t, true, nil))
+	client := testserver.Dial(t, server.addr)
+	prepareNamed := func(number int) testserver.Answer {
+		name := fmt.Sprintf("%d%s", number, strings.Repeat("n", 100_000))
+		client.Send(pgwire.Append(prepare(name, statementText("r", "read", 900)), 'S'))
+		return client.Until('Z')
+	}
+	prepared := 0
+	for answer := prepareNamed(0); answer.Code == ""; answer = prepareNamed(prepared) {
+		if prepared++; prepared > 20 {
+			t.Fatal("20 names of 100,000 bytes are kept, want at most 10")
+		}
+	}
+	if prepared < 5 {
+		t.Errorf("%d names are kept, want at least half of what there is memory for", prepared)
+	}
+	client.Send(pgwire.Append(pgwire.AppendTarget(nil, 'C', 'S', "0"+strings.Repeat("n", 100_000)), 'S'))
+	if answer := client.Until('Z'); answer.Types != "3Z" {
+		t.Errorf("response %+v to Close, want types 3Z", answer)
+	}
+	if answer := prepareNamed(prepared); answer.Types != "1Z" {
+		t.Errorf("response %+v to Parse after a Close, want types 1Z", answer)
+	}
+	client.Close()
+	testserver.Dial(t, server.addr)
+}
--- a/internal/frontend/extendedquery/session.go
+++ b/internal/frontend/extendedquery/session.go
@@ -14,9 +14,9 @@
 	IsWrite(class string) bool
 }
 
-// maxBufferedBytes limits the responses that wait for Flush or Sync. It bounds the memory for a client that keeps
-// sending messages without either.
-const maxBufferedBytes = 16 << 10
+// maxBufferedBytes limits the responses that wait for Flush or Sync. It bounds the memory for clients that keep sending
+// messages without either.
+const maxBufferedBytes = 4 << 10
 
 // NewHandler returns the function that creates the protocol handler of a connection.
 func NewHandler(classes Classes) func(*frontend.Conn) frontend.ProtocolHandler {
@@ -42,6 +42,7 @@
 	pending           *operation      // received and not submitted yet, since further messages may belong to it
 	running           *operation      // submitted to the router
 	deferredMessage   *pgwire.Message // arrived after the pending operation, which has to run first
+	deferredBytes     int             // memory reserved for it
 }
 
 // Idle implements frontend.ProtocolHandler.
@@ -137,12 +138,36 @@
 	if isSync {
 		s.pending.syncReceived = true
 	} else {
-		message.Body = bytes.Clone(message.Body)
-		s.deferredMessage = &message
+		s.deferMessage(message)
 	}
 	s.submitPending()
 }
 
+// deferMessage keeps a message until the pending operation has run. If there is no memory for it, only its beginning is
+// kept, and it is rejected then.
+func (s *session) deferMessage(message pgwire.Message) {
+	if s.conn.Reserve(len(message.Body)) {
+		s.deferredBytes = len(message.Body)
+	} else {
+		message.Body = message.Body[:min(len(message.Body), truncatedBodyBytes)]
+		message.Truncated = true
+	}
+	message.Body = bytes.Clone(message.Body)
+	s.deferredMessage = &message
+}
+
+// truncatedBodyBytes is how much of the body of a deferred message is kept if memory is short, in bytes.
+const truncatedBodyBytes = 1 << 10
+
+// takeDeferred returns the deferred message, or nil if there is none, and releases its memory.
+func (s *session) takeDeferred() *pgwire.Message {
+	message := s.deferredMessage
+	s.deferredMessage = nil
+	s.conn.Release(s.deferredBytes)
+	s.deferredBytes = 0
+	return message
+}
+
 func (s *session) isWrite(o *operation) bool {
 	return o.execute && s.classes.IsWrite(o.statement.comment.Class)
 }
--- a/internal/frontend/extendedquery/statements.go
+++ b/internal/frontend/extendedquery/statements.go
@@ -7,10 +7,14 @@
 	"limeladder/internal/requestcomment"
 )
 
+// entryOverheadBytes is the memory that a prepared statement or a portal takes in addition to what its client has sent.
+const entryOverheadBytes = 256
+
 // preparedStatement is a statement that the client has prepared.
 type preparedStatement struct {
 	pgwire.ParseMessage
-	comment requestcomment.Comment
+	comment       requestcomment.Comment
+	reservedBytes int
 }
 
 // portal is a prepared statement with its parameters.
@@ -18,6 +22,8 @@
 	statement *preparedStatement
 	bindRest  []byte // body of Bind after the names
 	executed  bool
+
+	reservedBytes int
 }
 
 func (s *session) handleParse(body []byte) error {
@@ -39,8 +45,8 @@
 		return nil
 	}
 	s.dropStatement(message.Name)
-	if s.reserve(len(message.Query)) {
-		s.statements[message.Name] = &preparedStatement{ParseMessage: message, comment: comment}
+	if bytes := entryOverheadBytes + len(body); s.reserve(bytes) {
+		s.statements[message.Name] = &preparedStatement{ParseMessage: message, comment: comment, reservedBytes: bytes}
 		s.bufferedResponses = pgwire.Append(s.bufferedResponses, '1')
 	}
 	return nil
@@ -61,8 +67,14 @@
 		return nil
 	}
 	s.dropPortal(message.Portal)
-	if s.reserve(len(message.Rest)) {
-		s.portals[message.Portal] = &portal{statement: statement, bindRest: bytes.Clone(message.Rest)}
+	// A portal keeps its statement, even if that is closed.
+	reserved := entryOverheadBytes + len(body) + statement.reservedBytes
+	if s.reserve(reserved) {
+		s.portals[message.Portal] = &portal{
+			statement:     statement,
+			bindRest:      bytes.Clone(message.Rest),
+			reservedBytes: reserved,
+		}
 		s.bufferedResponses = pgwire.Append(s.bufferedResponses, '2')
 	}
 	return nil
@@ -99,14 +111,14 @@
 
 func (s *session) dropStatement(name string) {
 	if statement := s.statements[name]; statement != nil {
-		s.conn.Release(len(statement.Query))
+		s.conn.Release(statement.reservedBytes)
 		delete(s.statements, name)
 	}
 }
 
 func (s *session) dropPortal(name string) {
 	if dropped := s.portals[name]; dropped != nil {
-		s.conn.Release(len(dropped.bindRest))
+		s.conn.Release(dropped.reservedBytes)
 		delete(s.portals, name)
 	}
 }
--- a/internal/frontend/extendedquery/unit_of_work.go
+++ b/internal/frontend/extendedquery/unit_of_work.go
@@ -118,7 +118,7 @@
 		s.conn.MarkInvalid()
 		s.bufferedResponses = pgwire.AppendError(s.bufferedResponses, frontend.InvalidRequestError(err))
 		s.finishRunning(true)
-		s.deferredMessage = nil // skipped, like everything up to Sync
+		s.takeDeferred() // skipped, like everything up to Sync
 	}
 }
 
@@ -139,8 +139,7 @@
 // completeRunning ends the running operation after its response, and continues with the deferred message.
 func (s *session) completeRunning(failed bool) {
 	s.finishRunning(failed)
-	message := s.deferredMessage
-	s.deferredMessage = nil
+	message := s.takeDeferred()
 	s.conn.CompleteRequest(func() error {
 		if message == nil {
 			return nil
--- a/internal/frontend/memory_shortage_test.go
+++ b/internal/frontend/memory_shortage_test.go
@@ -182,3 +182,18 @@
 		t.Errorf("response %+v to the message that had waited for memory, want error 53300", answer)
 	}
 }
+
+// While long messages occupied all memory for statements, short requests of other clients were rejected. Each
+// connection may keep a short statement in any case.
+func TestShortRequestsAreAcceptedWhileMemoryIsUsedUp(t *testing.T) {
+	lim := scarceMemoryLimits()
+	frontend, fake, loop, addr := startWith(t, lim)
+	client := testserver.Dial(t, addr)
+	runInLoop(loop, func() { frontend.memory.bufferedBytes += 2 * lim.Frontend.BufferedBytes })
+	client.Send(queryWithID("short", "any"))
+	expectAccepted(t, fake, "short")
+	fake.serve("short")
+	expectResponses(t, client, "short")
+	client.Send(longQuery("long"))
+	expectResponses(t, client, pgwire.TooManyConnections)
+}
--- a/internal/frontend/message_reading.go
+++ b/internal/frontend/message_reading.go
@@ -95,6 +95,8 @@
 		if !ok {
 			return
 		}
+		// What is kept of the message is reserved by its handler.
+		c.memory.setUnparsed(c.input.reader.Buffered(), c.memory.countedAsPipelined)
 		if err := c.handleMessage(message); err != nil {
 			c.closeWithErrorInOrder(asProtocolError(err))
 		}
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -249,6 +249,7 @@
 	s.statementBytes = 0
 	s.reservedBytes = 0
 	s.requestID = ""
+	s.request = router.Request{} // its strings keep the whole statement in memory
 	s.flow = nil
 	s.state = slotAnswered
 	if c.lifetime.closed {
--- a/internal/limits/compute.go
+++ b/internal/limits/compute.go
@@ -29,7 +29,7 @@
 func New(memoryMiB, descriptors int, connectTimeout, connectionIdle, longestRequest time.Duration) Limits {
 	return Limits{
 		Memory:     memory(memoryMiB),
-		Transport:  Transport{InboxBytes: 64 * kib},
+		Transport:  transport(memoryMiB),
 		Frontend:   frontend(memoryMiB, descriptors),
 		Router:     router(memoryMiB, descriptors),
 		Backend:    backend(memoryMiB, descriptors, connectTimeout, connectionIdle),
@@ -65,6 +65,14 @@
 	}
 }
 
+func transport(memoryMiB int) Transport {
+	return Transport{
+		InboxBytes:      64 * kib,
+		InboxTotalBytes: memoryMiB * mib / 16,
+		LeastInboxBytes: 4 * kib,
+	}
+}
+
 func frontend(memoryMiB, descriptors int) Frontend {
 	free := connectionDescriptors(descriptors)
 	connections := free * 7 / 10
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -27,7 +27,9 @@
 
 // Transport bounds every connection, whether to a client, an endpoint or an operator.
 type Transport struct {
-	InboxBytes int // received but unprocessed bytes of a connection; above this, reading from it pauses
+	InboxBytes      int // received but unprocessed bytes of a connection; above this, reading from it pauses
+	InboxTotalBytes int // the same of all connections together: the more are in use, the less each may have
+	LeastInboxBytes int // unprocessed bytes that each connection may have in any case
 }
 
 // Frontend bounds client connections.
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -336,3 +336,34 @@
 	}
 	return reader
 }
+
+// An incomplete message takes no more than twice the memory of what has arrived of it, however long it is announced,
+// and a short rest of a long buffer does not keep the buffer.
+func TestReaderHoldsLittleMoreThanHasArrived(t *testing.T) {
+	const total = 500_000
+	message := AppendQuery(nil, strings.Repeat("x", total))
+	r := NewReader(1<<20, 0)
+	fed := 0
+	for piece := range slices.Chunk(message[:total/2], 4000) {
+		r.Feed(piece)
+		fed += len(piece)
+		if _, ok, err := r.Next(); ok || err != nil {
+			t.Fatal(ok, err)
+		}
+		if held := r.HeldBytes(); held > 2*fed+4096 {
+			t.Fatalf("%d bytes are held after %d have arrived, want at most twice as many", held, fed)
+		}
+	}
+	r.Feed(slices.Concat(message[total/2:], message[:100]))
+	if m, ok, err := r.Next(); !ok || err != nil || len(m.Body) != total+1 {
+		t.Fatal(ok, err, len(m.Body))
+	}
+	r.Compact()
+	if held := r.HeldBytes(); held > 1024 {
+		t.Errorf("%d bytes are held for a rest of 100, want at most 1024", held)
+	}
+	r.Feed(message[100:])
+	if m, ok, err := r.Next(); !ok || err != nil || len(m.Body) != total+1 {
+		t.Error("the message behind the compacted rest is damaged", ok, err, len(m.Body))
+	}
+}
--- a/internal/pgwire/reader.go
+++ b/internal/pgwire/reader.go
@@ -10,9 +10,13 @@
 	headerBytes = 1 + lengthBytes // type and length of a typed message
 	// maxIdleBuffer is the capacity in bytes of the largest buffer that an idle reader keeps.
 	maxIdleBuffer = 16 << 10
-	// growFraction delays the growth of the buffer to the size of an incomplete message until more than
-	// 1/growFraction of it has arrived, so that a peer that announces a long message and sends none costs no memory.
-	growFraction = 4
+	// growFactor bounds the size of the buffer of an incomplete message, relative to what has arrived of it, so that a
+	// peer that announces a long message and sends little of it costs little memory.
+	growFactor = 2
+	// compactFactor is the size of the buffer, relative to what is in it, above which Compact replaces it.
+	compactFactor = 4
+	// leastBuffer is the capacity in bytes of the largest buffer that Compact leaves as it is.
+	leastBuffer = 1 << 10
 )
 
 // Reader cuts a stream of bytes into messages. The zero value is not usable: use NewReader.
@@ -50,13 +54,34 @@
 	p = r.truncation.discard(p)
 	r.reclaim()
 	have := r.Buffered() + len(p)
-	if r.incomplete > have && have > r.incomplete/growFraction {
-		// A long message is copied once, and not each time the buffer grows. Its length was checked when it arrived.
-		r.buf = slices.Grow(r.buf, r.incomplete-r.Buffered())
+	if r.incomplete > have && r.start+have > cap(r.buf) {
+		// The buffer doubles, and does not exceed the message. Its length was checked when it arrived.
+		grown := make([]byte, r.Buffered(), min(r.incomplete, growFactor*have))
+		copy(grown, r.buf[r.start:])
+		r.buf = grown
+		r.start = 0
 	}
 	r.buf = append(r.buf, p...)
 }
 
+// Compact releases most of a buffer that is much larger than what is in it.
+func (r *Reader) Compact() {
+	if cap(r.buf) <= max(leastBuffer, compactFactor*r.Buffered()) {
+		return
+	}
+	r.buf = slices.Clone(r.buf[r.start:])
+	r.start = 0
+}
+
+// HeldBytes returns the memory in bytes that the reader holds for what has arrived. It leaves out the small buffer that
+// a compact reader keeps while nothing is in it.
+func (r *Reader) HeldBytes() int {
+	if r.Buffered() == 0 {
+		return 0
+	}
+	return cap(r.buf)
+}
+
 // reclaim reuses the space of the bytes that Next and NextBytes have returned.
 func (r *Reader) reclaim() {
 	switch {
--- a/internal/requestcomment/comment.go
+++ b/internal/requestcomment/comment.go
@@ -51,6 +51,7 @@
 )
 
 const (
+	maxFields  = 64 // further ones would take time and memory in proportion to the length of a statement
 	maxTimeout = 24 * time.Hour
 	// maxPosition is in the year 2109, so no position in practice reaches it. It does not overflow a time.Duration.
 	maxPosition = (1 << 42) * time.Millisecond
@@ -69,7 +70,10 @@
 	}
 	seen := map[string]bool{}
 	start := len(commentStart)
-	for _, pair := range strings.Split(text, ",") {
+	for pair := range strings.SplitSeq(text, ",") {
+		if len(seen) == maxFields {
+			return c, ErrMalformed
+		}
 		name, value, ok := strings.Cut(pair, "=")
 		key := strings.TrimLeft(name, " ")
 		if !ok || seen[key] {
--- a/internal/requestcomment/comment_test.go
+++ b/internal/requestcomment/comment_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -65,3 +67,27 @@
 		}
 	})
 }
+
+// A comment of very many short fields took time and memory in proportion to its length, for each statement.
+func TestTooManyFieldsAreMalformed(t *testing.T) {
+	fields := ""
+	for i := range 60 {
+		fields += "k" + strconv.Itoa(i) + "=,"
+	}
+	end := "id=a,c=order,d=480,cluster=2 */ SELECT 1"
+	if _, err := Parse("/* " + fields + end); err != nil {
+		t.Errorf("64 fields: error %v, want none", err)
+	}
+	if _, err := Parse("/* more=," + fields + end); !errors.Is(err, ErrMalformed) {
+		t.Errorf("65 fields: error %v, want ErrMalformed", err)
+	}
+	var many strings.Builder
+	for i := range 100_000 {
+		many.WriteString(strconv.Itoa(i) + "=,")
+	}
+	long := "/* " + many.String() + end
+	allocations := testing.AllocsPerRun(10, func() { _, _ = Parse(long) })
+	if allocations > 20 {
+		t.Errorf("%v allocations for a comment of 100,000 fields, want at most 20", allocations)
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -44,7 +44,7 @@
 	readMutex         sync.Mutex  // held while the socket is read, by the poller or the loop
 	paused            bool        // the loop has paused reading; written under mutex
 	pendingClose      error       // the connection ended while it was paused, nil = it has not
-	reportCloseAtOnce bool        // the end is reported without delay, and unprocessed bytes before it are dropped
+	reportCloseAtOnce atomic.Bool // the end is reported without delay, and unprocessed bytes before it are dropped
 	readsToEnd        atomic.Bool // each read continues until no data is left, so that a reset after data is detected
 
 	// Closing.
@@ -98,10 +98,15 @@
 // unless ReportCloseAtOnce was called.
 func (c *Conn) handleClosed(err error) {
 	c.endGracefulClose()
-	if c.paused && !c.reportCloseAtOnce {
+	if c.releaseSlot != nil {
+		// Only now: connections that have ended and wait for the loop would otherwise not be bounded.
+		c.releaseSlot()
+	}
+	if c.paused && !c.reportCloseAtOnce.Load() {
 		c.deferClose(err)
 		return
 	}
+	c.dropInbox()
 	if !c.closed {
 		c.closed = true
 		c.handler.Closed(err)
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -17,6 +17,7 @@
 	loop       *eventloop.Loop
 	poller     *nbio.Engine
 	inboxBytes int // maximum unprocessed bytes of one connection before reading stops
+	inboxes    inboxBudget
 
 	// Only the loop uses these.
 	closingCount int     // connections that are being closed by CloseGracefully
@@ -66,6 +67,12 @@
 	return e, nil
 }
 
+// LimitInboxes bounds the unprocessed bytes of all connections together, with what each one may have in any case. It must be called before the first connection is opened.
+func (e *Engine) LimitInboxes(total, least int) {
+	e.inboxes.totalBytes = int64(total)
+	e.inboxes.leastBytes = least
+}
+
 // registerCallbacks registers the callbacks with which the poller reports events to the connections.
 func (e *Engine) registerCallbacks() {
 	pollerBuffer := make([]byte, readBufferBytes)
@@ -86,9 +93,6 @@
 			return
 		}
 		c.releaseDescriptor()
-		if c.releaseSlot != nil {
-			c.releaseSlot()
-		}
 		c.post(func() { c.handleClosed(err) })
 	})
 }
--- a/internal/transport/read.go
+++ b/internal/transport/read.go
@@ -24,6 +24,7 @@
 			c.recordUnreadArrivals()
 			return
 		}
+		unwanted := full && c.reportCloseAtOnce.Load() // the end is reported, and nothing of what precedes it
 		piece := buf[:min(room, len(buf))]
 		n, err := c.socket.Read(piece)
 		if errors.Is(err, syscall.EINTR) {
@@ -39,7 +40,9 @@
 			}
 			return
 		}
-		c.receive(piece[:n])
+		if !unwanted {
+			c.receive(piece[:n])
+		}
 		if n < len(piece) && !c.readsToEnd.Load() {
 			return // the poller reports data that arrives later
 		}
@@ -52,14 +55,12 @@
 func (c *Conn) updateInboxFull() (full bool, readBytes int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	limit := c.engine.inboxBytes
-	readBytes = readBufferBytes
+	limit := c.engine.inboxes.limit(c.engine.inboxBytes)
 	if c.inboxLimit > 0 && c.inboxLimit < limit {
 		limit = c.inboxLimit
-		readBytes = min(readBytes, limit)
 	}
 	c.inboxFull = len(c.inbox) >= limit || c.paused && len(c.inbox) > 0
-	return c.inboxFull, readBytes
+	return c.inboxFull, min(readBufferBytes, limit)
 }
 
 // LimitInbox lowers the number of unprocessed bytes beyond which the connection is not read, and reads at most as many
@@ -74,6 +75,7 @@
 func (c *Conn) receive(p []byte) {
 	c.mutex.Lock()
 	c.inbox = append(c.inbox, p...)
+	c.engine.inboxes.usedBytes.Add(int64(len(p)))
 	c.recordArrival(len(p))
 	post := !c.dataPosted
 	c.dataPosted = true
@@ -92,13 +94,12 @@
 		c.mutex.Unlock()
 		return
 	}
-	p := c.inbox
+	p := c.takeInbox()
 	full := c.inboxFull
-	c.inbox = nil
 	c.dataPosted = false
 	c.inboxFull = false
 	c.mutex.Unlock()
-	dropped := c.reportCloseAtOnce && c.ended.Load()
+	dropped := c.reportCloseAtOnce.Load() && c.ended.Load()
 	wanted := !c.closed && !dropped
 	if wanted && len(p) > 0 {
 		c.handler.Data(p)
@@ -134,7 +135,7 @@
 // ReportCloseAtOnce requests that the end of the connection be reported without delay, even while it is paused.
 // Unprocessed data received before the end is dropped. It is for peers that no longer want a response once they close
 // the connection.
-func (c *Conn) ReportCloseAtOnce() { c.reportCloseAtOnce = true }
+func (c *Conn) ReportCloseAtOnce() { c.reportCloseAtOnce.Store(true) }
 
 // DetectResets makes a reset distinguishable from an orderly end even if it follows data immediately. The cost is one
 // more read after each batch of data.
