Clients that read slowly hold a bounded part of the memory and of the endpoints

Cause: bounds for each connection and none for all: unread responses, those being received, those in flight to a client that has stopped reading (one each), and connections to endpoints that streamed responses hold. An attempt or a health check that found no free connection counted as a failure of the endpoint.

Change: a client that has not received most of what was written has no further request accepted; a response that can't be sent is kept within half of BufferedBytes, else a read is rejected; received responses share IncomingBytes; streamed ones have half of the connections; a local shortage ends as StatusNotSent; listeners share memory. Of too many unread clients the longest idle are closed first.

--- a/cmd/limeladder/listeners.go
+++ b/cmd/limeladder/listeners.go
@@ -111,6 +111,9 @@
 	newHandler func(*frontend.Conn) frontend.ProtocolHandler,
 ) {
 	front := frontend.New(d.loop, d.limits, d.log, d.core, newHandler)
+	if len(d.listeners.open) > 0 {
+		front.ShareMemory(d.listeners.platform().Frontend)
+	}
 	if d.recording != nil {
 		front.IdentifyClients()
 	}
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -28,7 +28,8 @@
 	reuseTimer    *eventloop.Timer // ends the delay before the next attempt, nil = no delay is in progress
 	progressTimer *eventloop.Timer // limits the wait for the rest of a partial message or response
 
-	incoming incomingResponse
+	incoming      incomingResponse
+	reservedBytes int // memory reserved for it
 }
 
 // handleDialed handles the result of the dial: a socket or an error.
@@ -57,6 +58,7 @@
 		return
 	}
 	c.closed = true
+	c.releaseMemory()
 	c.startupTimer.Stop()
 	c.progressTimer.Stop()
 	e := c.endpoint
@@ -149,6 +151,7 @@
 	a := c.attempt
 	c.attempt = nil
 	a.connection = nil
+	c.releaseMemory()
 	return a
 }
 
--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -26,7 +26,9 @@
 	// attempt.
 	generation int
 
-	open         int           // connections, including those being dialed
+	open          int // connections, including those being dialed
+	incomingBytes int // memory reserved for responses that are being received
+
 	starting     int           // connections that have not completed their startup
 	reuseDelayed int           // connections in their delay after a response
 	idle         []*connection // least recently used first
@@ -98,13 +100,17 @@
 	p := e.pool
 	e.waiting = append(e.waiting, a)
 	timeout := p.limits.Backend.ConnectTimeout
-	status := balance.StatusConnectFailed
+	tooLate := false
 	if remaining := a.notAfter - p.loop.Now(); a.notAfter > 0 && remaining < timeout {
 		timeout = remaining
-		status = balance.StatusNotSent // after that time it must not be written
+		tooLate = true // after that time it must not be written
 	}
 	a.connectTimer = p.loop.AfterFunc(timeout, func() {
 		e.removeWaiting(a)
+		status := balance.StatusConnectFailed
+		if tooLate || e.starting == 0 {
+			status = balance.StatusNotSent // where none is being opened, the endpoint did not refuse one
+		}
 		a.finish(router.Result{Status: status})
 	})
 	// The system retransmits a lost SYN only after 1 s, so another connection is dialed before that.
--- a/internal/backend/health_check.go
+++ b/internal/backend/health_check.go
@@ -27,8 +27,14 @@
 		done(result)
 	}
 	a.timeoutTimer = p.loop.AfterFunc(timeout, func() {
+		neverSent := a.NotWritten()
 		a.Cancel()
-		if e := p.endpoints[id]; e != nil {
+		e := p.endpoints[id]
+		if neverSent && e != nil && e.starting == 0 {
+			done(router.Result{Status: balance.StatusNotSent}) // no connection was free, which says nothing about the endpoint
+			return
+		}
+		if e != nil {
 			e.closeIdle() // an endpoint that does not respond to a health check is assumed to respond on no connection
 		}
 		done(router.Result{Status: balance.StatusTimedOut})
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -21,6 +21,7 @@
 	endpoints map[string]*endpoint
 	suspended map[string]bool // endpoints suspended by operators, whether or not discovery lists them
 	open      int             // connections to all endpoints, including those being dialed
+	incoming  incomingMemory
 	closed    bool
 }
 
--- a/internal/backend/receive.go
+++ b/internal/backend/receive.go
@@ -62,6 +62,9 @@
 			break
 		}
 	}
+	if !c.closed {
+		c.awaitMemory()
+	}
 	c.resetProgressTimer()
 }
 
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -33,6 +33,7 @@
 		return false
 	}
 	in.streamedRow = pgwire.NewRowStream(length)
+	c.releaseMemory()
 	if !in.streaming {
 		in.streaming = true
 		c.attempt.onResponseStarted(in.response, c.attempt)
--- a/internal/frontend/accounting.go
+++ b/internal/frontend/accounting.go
@@ -7,6 +7,14 @@
 	refusedBytes   int // largest reservation that was refused since the last sweep
 }
 
+// clientMemory is the memory for the clients of all listeners.
+type clientMemory struct {
+	memoryUse
+	unsentBytes int // of responses, counted at the last sweep, with what was added since then
+	streamCount int // connections to which a response is being streamed
+	collector   collector
+}
+
 // used returns how many bytes count towards the limit. Pipelined bytes count for at most half of the limit, so that
 // they can't displace clients that send one request at a time.
 func (m *memoryUse) used(limit int) int { return m.bufferedBytes + min(m.pipelinedBytes, limit/2) }
@@ -56,7 +64,7 @@
 		return false
 	}
 	limit := c.frontend.limits.Frontend.BufferedBytes
-	memory := &c.frontend.memory
+	memory := c.frontend.memory
 	isShort := c.memory.reservedBytes+bytes <= c.frontend.limits.Frontend.ReservedInputBytes
 	if !isShort && memory.used(limit)+bytes > limit {
 		memory.refusedBytes = max(memory.refusedBytes, bytes)
@@ -113,7 +121,7 @@
 	if !c.lifetime.started || c.memory.unparsedBytes <= lim.ReservedInputBytes {
 		return false
 	}
-	memory := &c.frontend.memory
+	memory := c.frontend.memory
 	if memory.exhausted(lim.BufferedBytes) {
 		return true
 	}
--- a/internal/frontend/collected_response.go
+++ b/internal/frontend/collected_response.go
@@ -10,7 +10,7 @@
 // All collected responses share CollectedBytes. Each one reserves its whole length before it is read from its endpoint;
 // until there is room its source stays paused, and at its deadline the request is answered with an error.
 
-// collector limits the memory for the collected responses of a listener's connections.
+// collector limits the memory for the collected responses of all connections.
 type collector struct {
 	reservedBytes int
 	waiting       []*slot // responses that wait for room, the oldest first
@@ -21,7 +21,7 @@
 
 // collect starts to keep the first response of the pipeline until it is complete, as soon as there is room for it.
 func (s *slot) collect() {
-	collected := &s.conn.frontend.collector
+	collected := &s.conn.frontend.memory.collector
 	s.withheld = true
 	if !s.reserveCollected() {
 		collected.waiting = append(collected.waiting, s)
@@ -34,11 +34,12 @@
 // reserveCollected reserves the memory for the rest of the response, and reports whether there is enough.
 func (s *slot) reserveCollected() bool {
 	frontend := s.conn.frontend
+	collected := &frontend.memory.collector
 	bytes := s.flow.BytesToCome()
-	if frontend.collector.reservedBytes+bytes > frontend.limits.Frontend.CollectedBytes {
+	if collected.reservedBytes+bytes > frontend.limits.Frontend.CollectedBytes {
 		return false
 	}
-	frontend.collector.reservedBytes += bytes
+	collected.reservedBytes += bytes
 	s.collectedBytes = bytes
 	return true
 }
@@ -46,7 +47,7 @@
 // releaseCollected releases memory that was reserved for a collected response, or its place among those that wait for
 // some. Others that wait continue if there is room now.
 func (s *slot) releaseCollected(bytes int) {
-	collected := &s.conn.frontend.collector
+	collected := &s.conn.frontend.memory.collector
 	if i := slices.Index(collected.waiting, s); i >= 0 {
 		collected.waiting = slices.Delete(collected.waiting, i, i+1)
 	}
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -28,6 +28,7 @@
 func (f *Frontend) closeOverdue(now time.Duration) (unread bool) {
 	lim := &f.limits.Frontend
 	unreadBytes := 0 // of responses that are not streamed: StreamedBytes limits the others
+	var unreadBy []*Conn
 	for c := range f.connections {
 		c.trackProgress(now)
 		if err := c.overdue(now); err != nil {
@@ -38,14 +39,33 @@
 		if c.output.flow == nil {
 			unreadBytes += c.output.unsentBytes
 		}
-		if unreadBytes > lim.BufferedBytes && c.hasUnreadResponse() {
-			// Many clients that do not read their responses exhaust the memory where one alone does not.
-			c.closeWithError(errUnreadLimit)
+		if c.hasUnreadResponse() {
+			unreadBy = append(unreadBy, c)
 		}
 	}
+	f.memory.unsentBytes = unreadBytes
+	if unreadBytes > lim.BufferedBytes {
+		f.closeUnread(unreadBy, unreadBytes-lim.BufferedBytes)
+	}
 	return unread
 }
 
+// closeUnread closes connections whose clients have not read their responses, until the given number of bytes is freed.
+// Many such clients exhaust the memory where one alone does not. Those that have read nothing for the longest time come
+// first: others may only be slow.
+func (f *Frontend) closeUnread(conns []*Conn, excess int) {
+	slices.SortFunc(conns, func(a, b *Conn) int {
+		return cmp.Compare(a.output.lastProgressAt, b.output.lastProgressAt)
+	})
+	for _, c := range conns {
+		if excess <= 0 {
+			return
+		}
+		excess -= c.output.unsentBytes
+		c.closeWithError(errUnreadLimit)
+	}
+}
+
 // sweepInterval returns the time to the next sweep. With a fixed short interval every idle router of a fleet would wake
 // twenty times a second, which is expensive on a small share of a core. When no connection waits for capacity and no
 // drain has begun, the first timeout that a sweep enforces is seconds away: a quarter of the shortest one is soon
--- a/internal/frontend/extendedquery/response.go
+++ b/internal/frontend/extendedquery/response.go
@@ -15,6 +15,11 @@
 // Committed implements router.CommitObserver.
 func (s *session) Committed(position time.Duration) { s.conn.Committed(position) }
 
+// HasRoomFor implements router.Client.
+func (s *session) HasRoomFor(response router.Response) bool {
+	return s.conn.HasRoomToSend(len(response.(*backend.Response).Messages))
+}
+
 // ResponseStarted implements router.Client.
 func (s *session) ResponseStarted(response router.Response, flow router.FlowController) {
 	s.appendResponse(response.(*backend.Response))
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -43,9 +43,7 @@
 	newHandler func(*Conn) ProtocolHandler
 
 	connections       map[*Conn]struct{}
-	memory            memoryUse
-	collector         collector
-	streamCount       int // connections to which a response is being streamed
+	memory            *clientMemory
 	drain             drainState
 	ready             bool
 	identifiesClients bool // requests carry the client's user name and address
@@ -70,6 +68,7 @@
 		router:      router,
 		newHandler:  newHandler,
 		connections: map[*Conn]struct{}{},
+		memory:      &clientMemory{},
 	}
 	loop.Post(f.sweep)
 	return f
@@ -79,6 +78,10 @@
 // called before the first connection is accepted.
 func (f *Frontend) IdentifyClients() { f.identifiesClients = true }
 
+// ShareMemory makes the memory limits apply to the clients of both listeners together. It must be called before the
+// first connection is accepted.
+func (f *Frontend) ShareMemory(other *Frontend) { f.memory = other.memory }
+
 // SetReady makes empty queries succeed from now on. The platform sends clients once they do.
 func (f *Frontend) SetReady() { f.ready = true }
 
@@ -101,7 +104,7 @@
 		input:    messageInput{reader: pgwire.NewReader(lim.MessageBytes, lim.StartupBytes)},
 		lifetime: lifetime{openedAt: now, lastActiveAt: now},
 		output:   outputState{lastProgressAt: now},
-		memory:   byteAccount{total: &f.memory},
+		memory:   byteAccount{total: &f.memory.memoryUse},
 	}
 	c.handler = f.newHandler(c)
 	socket.SetWriteBuffer(lim.SendBufferBytes)
--- a/internal/frontend/memory_shortage.go
+++ b/internal/frontend/memory_shortage.go
@@ -65,6 +65,19 @@
 	return waiting
 }
 
+// hasRoomForResponse reports whether a response may be kept until its client has read more. Such responses of all
+// connections may take half of the memory for clients.
+func (c *Conn) hasRoomForResponse(bytes int) bool {
+	limit := c.frontend.limits.Frontend.BufferedBytes
+	memory := c.frontend.memory
+	return memory.used(limit)+memory.unsentBytes+bytes <= limit/2
+}
+
+// HasRoomToSend reports whether a response may be sent although the client has not read what was sent before.
+func (c *Conn) HasRoomToSend(bytes int) bool {
+	return bytes <= c.frontend.limits.Frontend.LowWaterBytes || !c.readsSlowly() || c.hasRoomForResponse(bytes)
+}
+
 // rejectForCapacity answers a request that there is no memory to keep.
 func (c *Conn) rejectForCapacity(request router.Request, client responder) {
 	c.RecordCapacityRejection(request)
--- a/internal/frontend/message_reading.go
+++ b/internal/frontend/message_reading.go
@@ -117,7 +117,17 @@
 	if c.exclusive.inFlight() || c.lifetime.closeWhenAnswered || c.streamsResponse() {
 		return true
 	}
-	return c.pipeline.newestQueued() || c.pipeline.backlogBytes > c.frontend.limits.Frontend.HighWaterBytes
+	return c.pipeline.newestQueued() || c.pipeline.backlogBytes > c.maxBacklogBytes()
+}
+
+// maxBacklogBytes returns how much may wait in the pipeline for earlier responses while further requests are accepted.
+// While memory is short it is little, since hundreds of clients may have as much.
+func (c *Conn) maxBacklogBytes() int {
+	lim := &c.frontend.limits.Frontend
+	if c.frontend.memory.used(lim.BufferedBytes) > lim.BufferedBytes/2 {
+		return lim.ReservedInputBytes
+	}
+	return lim.HighWaterBytes
 }
 
 func (c *Conn) handleMessage(message pgwire.Message) error {
--- a/internal/frontend/response_stream.go
+++ b/internal/frontend/response_stream.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"limeladder/internal/eventloop"
 	"limeladder/internal/router"
 )
 
@@ -10,6 +11,9 @@
 type outputState struct {
 	flow          router.FlowController // source of the response that is being streamed, nil = none
 	backpressured bool                  // no further message or response is started until the client has read more
+	deliveryCheck *eventloop.Timer      // checks again whether the client has read more, nil = nothing waits for that
+	deliveryDelay time.Duration         // time to the next such check
+	checkedBytes  int64                 // bytes written when the client had last been found to have read almost all
 
 	unsentBytes    int           // bytes that the client had not accepted at the last sweep
 	progressBytes  int64         // bytes that it had accepted by then
@@ -36,12 +40,14 @@
 	if c.lifetime.closed {
 		return
 	}
+	before := c.socket.BytesUnsent()
 	if c.socket.Write(data) != nil || c.socket.BytesUnsent() > c.frontend.limits.Frontend.UnreadBytes {
 		c.Close()
 		return
 	}
-	if c.socket.BytesUnsent() > 0 {
-		c.frontend.sweepSoon()
+	if unsent := c.socket.BytesUnsent(); unsent > 0 {
+		c.frontend.memory.unsentBytes += max(0, unsent-before)
+		c.frontend.sweepSoon() // the sweep counts what is unsent
 	}
 }
 
@@ -78,10 +84,10 @@
 // setFlow sets the source of the response that is being streamed, nil = none.
 func (c *Conn) setFlow(flow router.FlowController) {
 	if c.output.flow != nil {
-		c.frontend.streamCount--
+		c.frontend.memory.streamCount--
 	}
 	if flow != nil {
-		c.frontend.streamCount++
+		c.frontend.memory.streamCount++
 	}
 	c.output.flow = flow
 }
@@ -91,7 +97,7 @@
 // waits for each of them.
 func (f *Frontend) streamWaterMarks() (high, low int) {
 	lim := &f.limits.Frontend
-	share := lim.StreamedBytes / max(1, f.streamCount)
+	share := lim.StreamedBytes / max(1, f.memory.streamCount)
 	high = min(lim.HighWaterBytes, max(lim.MinStreamedBytes, share))
 	return high, min(lim.LowWaterBytes, high/4)
 }
@@ -120,16 +126,63 @@
 // WriteDrained continues once the client has read most of it.
 func (c *Conn) applyBackpressure() bool {
 	lim := &c.frontend.limits.Frontend
-	if !c.output.backpressured && c.socket.BytesUnsent() > lim.HighWaterBytes {
+	if c.output.backpressured {
+		return true
+	}
+	if c.socket.BytesUnsent() > lim.HighWaterBytes {
 		c.output.backpressured = true
 		c.socket.NotifyWhenUnsentBelow(lim.LowWaterBytes)
+	} else if c.readsSlowly() {
+		c.output.backpressured = true
+		c.output.deliveryDelay = minDeliveryDelay
+		c.checkDeliveryLater()
 	}
 	return c.output.backpressured
 }
 
+// The bounds of the time between two checks whether a client has read more, which doubles with each check.
+const (
+	minDeliveryDelay = time.Millisecond
+	maxDeliveryDelay = 80 * time.Millisecond
+)
+
+// readsSlowly reports whether most of a send buffer waits to be received by the client. Its next request would add a
+// whole response to that, which is kept in memory: with hundreds of such clients that exceeds it, however little is
+// kept for each.
+func (c *Conn) readsSlowly() bool {
+	lim := &c.frontend.limits.Frontend
+	written := c.socket.BytesSent() + int64(c.socket.BytesUnsent())
+	if written-c.output.checkedBytes <= int64(lim.LowWaterBytes) {
+		return false // no more than that can be left
+	}
+	undelivered := c.socket.BytesUndelivered()
+	if undelivered > lim.LowWaterBytes {
+		return true
+	}
+	c.output.checkedBytes = written - int64(undelivered)
+	return false
+}
+
+// checkDeliveryLater checks after a while whether the client has read more. The system does not tell when it has.
+func (c *Conn) checkDeliveryLater() {
+	c.output.deliveryCheck = c.frontend.eventLoop.AfterFunc(c.output.deliveryDelay, c.checkDelivery)
+	c.output.deliveryDelay = min(2*c.output.deliveryDelay, maxDeliveryDelay)
+}
+
+func (c *Conn) checkDelivery() {
+	switch {
+	case c.lifetime.closed:
+	case c.readsSlowly():
+		c.checkDeliveryLater()
+	default:
+		c.output.deliveryCheck = nil
+		c.WriteDrained()
+	}
+}
+
 // WriteDrained implements transport.WriteObserver: the client has read most of the data sent to it.
 func (c *Conn) WriteDrained() {
-	if c.output.backpressured {
+	if c.output.backpressured && c.output.deliveryCheck == nil {
 		c.output.backpressured = false
 		c.writeAnswered()
 		c.resume()
--- a/internal/frontend/simple_query.go
+++ b/internal/frontend/simple_query.go
@@ -121,6 +121,11 @@
 	r.complete(pgwire.AppendReady(response.(*backend.Response).Messages))
 }
 
+// HasRoomFor implements router.Client.
+func (r *simpleQueryResponder) HasRoomFor(response router.Response) bool {
+	return !r.mustBuffer() || r.conn.hasRoomForResponse(len(response.(*backend.Response).Messages))
+}
+
 // ResponseStarted implements router.Client.
 func (r *simpleQueryResponder) ResponseStarted(response router.Response, flow router.FlowController) {
 	r.startResponse(response.(*backend.Response).Messages, flow)
--- a/internal/limits/compute.go
+++ b/internal/limits/compute.go
@@ -123,30 +123,41 @@
 	}
 }
 
+// backendConnections returns the number of connections to all endpoints, given that of client and backend connections.
+func backendConnections(free int) int { return free * 3 / 10 }
+
+// connectionsPerEndpoint returns the number of connections to one endpoint.
+func connectionsPerEndpoint(free int) int { return max(8, free/8) }
+
 func router(memoryMiB, descriptors int) Router {
 	free := connectionDescriptors(descriptors)
 	return Router{
-		InFlightRequests:  4 * free,
-		PendingWrites:     4 * free,
-		PendingWriteBytes: memoryMiB * mib / 16,
-		LogTextBytes:      512,
-		DeadlineMargin:    10 * time.Millisecond,
-		DefaultRetryAfter: time.Second,
-		ReportInterval:    10 * time.Second,
+		InFlightRequests: 4 * free,
+		// Half of the connections to endpoints are left to short responses.
+		StreamedResponses:   backendConnections(free) / 2,
+		StreamedPerEndpoint: connectionsPerEndpoint(free) / 2,
+		PendingWrites:       4 * free,
+		PendingWriteBytes:   memoryMiB * mib / 16,
+		LogTextBytes:        512,
+		DeadlineMargin:      10 * time.Millisecond,
+		DefaultRetryAfter:   time.Second,
+		ReportInterval:      10 * time.Second,
 	}
 }
 
 func backend(memoryMiB, descriptors int, connectTimeout, connectionIdle time.Duration) Backend {
 	free := connectionDescriptors(descriptors)
 	return Backend{
-		Connections:            free * 3 / 10,
-		ConnectionsPerEndpoint: max(8, free/8),
+		Connections:            backendConnections(free),
+		ConnectionsPerEndpoint: connectionsPerEndpoint(free),
 		IdlePerEndpoint:        max(4, free/48),
 
+		IncomingBytes:        memoryMiB * mib / 8,
+		UnreservedBytes:      8 * kib,
 		ResponseBytes:        largestMessage(memoryMiB),
 		RowBytes:             maxRowBytes,
 		StreamThresholdBytes: 64 * kib,
-		StreamStartBytes:     32 * kib,
+		StreamStartBytes:     min(32*kib, max(8*kib, memoryMiB*mib/4096)),
 
 		ConnectTimeout:     connectTimeout,
 		RedialAfter:        connectTimeout * 2 / 5,
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -73,13 +73,15 @@
 
 // Router bounds the requests in flight.
 type Router struct {
-	InFlightRequests  int           // admitted requests that are unanswered or have an attempt in flight
-	PendingWrites     int           // writes queued during a failover
-	PendingWriteBytes int           // total size of their statements
-	LogTextBytes      int           // length of a log text of the decision module; longer texts are cut
-	DeadlineMargin    time.Duration // the final response is sent this long before the client timeout
-	DefaultRetryAfter time.Duration // Retry-After of a rejection for which the decision module gives none
-	ReportInterval    time.Duration // interval of the log lines with the counters
+	InFlightRequests    int           // admitted requests that are unanswered or have an attempt in flight
+	StreamedResponses   int           // responses that are being forwarded while they arrive
+	StreamedPerEndpoint int           // the same, of one endpoint
+	PendingWrites       int           // writes queued during a failover
+	PendingWriteBytes   int           // total size of their statements
+	LogTextBytes        int           // length of a log text of the decision module; longer texts are cut
+	DeadlineMargin      time.Duration // the final response is sent this long before the client timeout
+	DefaultRetryAfter   time.Duration // Retry-After of a rejection for which the decision module gives none
+	ReportInterval      time.Duration // interval of the log lines with the counters
 }
 
 // Backend bounds the connections to endpoints.
@@ -88,6 +90,8 @@
 	ConnectionsPerEndpoint int // connections to one endpoint, including those being opened
 	IdlePerEndpoint        int // idle connections kept open to one endpoint
 
+	IncomingBytes        int // memory for responses that are being received, of all connections together
+	UnreservedBytes      int // memory that one of them may take without reserving it
 	ResponseBytes        int // length of a response that is buffered until it is complete
 	RowBytes             int // length of a streamed row
 	StreamThresholdBytes int // a longer row is streamed rather than buffered
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -12,6 +12,10 @@
 // Client receives the answer to one request on behalf of the frontend. Unless the client disconnects first, exactly one
 // of Served, Rejected, Failed and ResponseTruncated is called, once.
 type Client interface {
+	// HasRoomFor reports whether there is memory to keep the response until the client has read what was sent before. If
+	// there is not, a request that may be repeated is rejected.
+	HasRoomFor(response Response) bool
+
 	// ResponseStarted is called when a long response is going to be forwarded while it arrives. response is the part
 	// before its long row. ResponsePart delivers the row in pieces, and Served the part after it.
 	ResponseStarted(response Response, flow FlowController)
--- a/internal/router/fakes_test.go
+++ b/internal/router/fakes_test.go
@@ -86,6 +86,7 @@
 type fakeClient struct {
 	loop         *eventloop.Loop
 	disconnected bool
+	hasNoRoom    bool // there is no memory to keep a response
 	withholds    bool // responses that have started are kept until they are complete
 
 	served           int
@@ -99,6 +100,7 @@
 }
 
 func (c *fakeClient) Disconnected(bool) bool                   { return c.disconnected }
+func (c *fakeClient) HasRoomFor(Response) bool                 { return !c.hasNoRoom }
 func (c *fakeClient) WithholdsResponse() bool                  { return c.withholds }
 func (c *fakeClient) ResponseStarted(Response, FlowController) { c.responsesStarted++ }
 func (c *fakeClient) ResponsePart(part []byte)                 { c.responseBytes += len(part) }
@@ -140,6 +142,7 @@
 func (instantPeers) Cancel() bool                             { return true }
 func (instantPeers) Suspend(string, bool)                     {}
 func (instantPeers) Poll()                                    {}
+func (instantPeers) HasRoomFor(Response) bool                 { return true }
 func (instantPeers) WithholdsResponse() bool                  { return false }
 func (instantPeers) ResponseStarted(Response, FlowController) {}
 func (instantPeers) ResponsePart([]byte)                      {}
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -24,9 +24,15 @@
 
 // forwardResponseStart starts forwarding a response that has begun to arrive. From then on neither the balancer nor,
 // unless the client withholds the response, the request's deadline ends the attempt, and no other attempt replaces it,
-// so that the response is not truncated.
+// so that the response is not truncated. If too many responses are being forwarded, the request is rejected instead.
 func (r *Router) forwardResponseStart(req *request, number int, response Response, flow FlowController) {
+	endpoint := req.attempts.endpoint
+	if !req.finished && r.isIdempotent(req) && !r.hasRoomForStream(endpoint) {
+		r.rejectStream(req)
+		return
+	}
 	req.attempts.responseStarted = true
+	r.streamed.started(endpoint)
 	r.notifyBalancer(balance.FirstByte{ID: req.id, Attempt: number})
 	if !req.finished {
 		req.client.ResponseStarted(response, flow)
--- a/internal/router/forward_test.go
+++ b/internal/router/forward_test.go
@@ -75,3 +75,62 @@
 		t.Errorf("got %d attempts, %d in flight, want 1 and 0", len(peers.attempts), router.InFlight())
 	}
 }
+
+// Clients that read long responses slowly occupied all connections to the endpoints, and short requests of others were
+// rejected. Only so many responses are streamed, in all and from one endpoint; a further one is rejected when it begins
+// to arrive, a write is not.
+func TestStreamedResponsesAreLimited(t *testing.T) {
+	router, peers, loop := newTestRouter(t)
+	router.limits.Router.StreamedResponses = 3
+	router.limits.Router.StreamedPerEndpoint = 2
+	var clients []*fakeClient
+	runFor(router, loop, 200*time.Millisecond, func() {
+		for i, class := range []string{readClass, readClass, readClass, writeClass} {
+			client := &fakeClient{loop: loop}
+			clients = append(clients, client)
+			accept(t, router, Request{Class: class, ClientTimeout: time.Second, ReceivedAt: loop.Now(), Job: i}, client)
+		}
+		loop.AfterFunc(20*time.Millisecond, func() {
+			for _, attempt := range peers.attempts {
+				router.streamed.started(attempt.Endpoint) // as if a client were reading another one
+				router.streamed.started(attempt.Endpoint)
+				attempt.OnResponseStarted(nil, nil)
+				router.streamed.ended(attempt.Endpoint)
+				router.streamed.ended(attempt.Endpoint)
+			}
+		})
+	})
+	if len(peers.attempts) != len(clients) {
+		t.Fatalf("got %d attempts, want one for each of %d requests", len(peers.attempts), len(clients))
+	}
+	for i, client := range clients[:3] {
+		if client.rejected != 1 || client.responsesStarted != 0 || !peers.attempts[i].ended {
+			t.Errorf("read %d: got %+v, attempt ended %t, want it rejected and given up", i, client, peers.attempts[i].ended)
+		}
+	}
+	if write := clients[3]; write.responsesStarted != 1 || write.answers() != 0 {
+		t.Errorf("write: got %+v, want its response started", write)
+	}
+	peers.attempts[3].end(balance.StatusDone)
+	router.Step()
+	if clients[3].served != 1 || router.streamed.total != 0 || len(router.streamed.byEndpoint) != 0 {
+		t.Errorf("got %+v and %+v, want the write served and no response streamed", clients[3], router.streamed)
+	}
+}
+
+// The responses to hundreds of clients that do not read exceeded the memory, one for each. If there is no room to keep
+// a response, a read is rejected, which does no harm; a write is answered in any case.
+func TestResponseWithoutRoomIsRejected(t *testing.T) {
+	for class, want := range map[string]audit.Outcome{readClass: audit.Rejected, writeClass: audit.Served} {
+		router, peers, loop := newTestRouter(t)
+		client := &fakeClient{loop: loop, hasNoRoom: true}
+		runFor(router, loop, 100*time.Millisecond, func() {
+			accept(t, router, Request{Class: class, ClientTimeout: time.Second, ReceivedAt: loop.Now(), Job: 1}, client)
+			loop.AfterFunc(20*time.Millisecond, func() { peers.attempts[0].end(balance.StatusDone) })
+		})
+		recorded := peers.answers()
+		if len(recorded) != 1 || recorded[0].Outcome != want || client.answers() != 1 || router.InFlight() != 0 {
+			t.Errorf("%s: got %+v and audit records %+v, want one answer and the outcome %v", class, client, recorded, want)
+		}
+	}
+}
--- a/internal/router/record.go
+++ b/internal/router/record.go
@@ -21,6 +21,9 @@
 // Counts returns a copy of the counters.
 func (r *Router) Counts() Counts { return r.counts }
 
+// reasonNoRoomForResponse is recorded for a request whose response could not be kept until its client reads it.
+const reasonNoRoomForResponse = "its client reads slowly, and there is no room for the answer"
+
 // recordAttempt records the end of an attempt, forwards its response, and reports the result to the components that use
 // it.
 func (r *Router) recordAttempt(req *request, number int, result Result) {
@@ -33,6 +36,9 @@
 		attempts.mayHaveRun = true
 	}
 	r.auditAttempt(req, result.Status)
+	if attempts.responseStarted {
+		r.streamed.ended(attempts.endpoint)
+	}
 	elapsed := attempts.elapsed(now, result.ResponseStartedAt)
 	served := result.Status == balance.StatusDone
 	if served {
@@ -40,7 +46,11 @@
 		// each answer, and would not count the answer to a request that it no longer tracks.
 		r.failoverQueue.attemptEnded(req, &result, elapsed, now)
 		r.notifyCommitted(req, &result)
-		r.serve(req, result.Response, result.SQLState)
+		if r.isIdempotent(req) && !attempts.responseStarted && !req.finished && !req.client.HasRoomFor(result.Response) {
+			r.rejectAndRecordReason(req, 0, reasonNoRoomForResponse)
+		} else {
+			r.serve(req, result.Response, result.SQLState)
+		}
 	} else if attempts.responseStarted {
 		r.truncate(req)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,6 +38,7 @@
 	balancerTimer        *eventloop.Timer
 	inFlight             map[string]*request // by request.id
 	openClientRequestIDs map[string]bool     // of unanswered requests
+	streamed             streamedResponses
 	lastRequestNumber    uint64
 	shutdownDeadline     time.Duration // latest answer time of newly accepted requests, 0 = no limit
 	counts               Counts
@@ -66,6 +67,7 @@
 		instances:            cfg.Instances,
 		inFlight:             map[string]*request{},
 		openClientRequestIDs: map[string]bool{},
+		streamed:             streamedResponses{byEndpoint: map[string]int{}},
 	}, nil
 }
 
--- a/internal/simulation/fleet/client.go
+++ b/internal/simulation/fleet/client.go
@@ -163,6 +163,9 @@
 // Disconnected implements router.Client. The model knows a disconnect at once.
 func (q *request) Disconnected(bool) bool { return q.disconnected }
 
+// HasRoomFor implements router.Client.
+func (q *request) HasRoomFor(router.Response) bool { return true }
+
 // WithholdsResponse implements router.Client.
 func (q *request) WithholdsResponse() bool { return false }
 
--- a/internal/testserver/server.go
+++ b/internal/testserver/server.go
@@ -211,8 +211,10 @@
 // responseSize if that is 0.
 func (d *DB) value(bytes int) string {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.Addr + strings.Repeat(" ", max(0, cmp.Or(bytes, d.responseSize)-len(d.Addr)))
+	size := cmp.Or(bytes, d.responseSize)
+	address := d.Addr
+	d.mu.Unlock()
+	return address + strings.Repeat(" ", max(0, size-len(address)))
 }
 
 func (d *DB) decide(typ byte, id string) Act {
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -67,7 +67,8 @@
 	return e, nil
 }
 
-// LimitInboxes bounds the unprocessed bytes of all connections together, with what each one may have in any case. It must be called before the first connection is opened.
+// LimitInboxes bounds the unprocessed bytes of all connections together, with what each one may have in any case. It
+// must be called before the first connection is opened.
 func (e *Engine) LimitInboxes(total, least int) {
 	e.inboxes.totalBytes = int64(total)
 	e.inboxes.leastBytes = least
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -1,6 +1,10 @@
 package transport
 
-import "net"
+import (
+	"net"
+
+	"golang.org/x/sys/unix"
+)
 
 // Write sends p, or buffers it until it can be sent. If it returns an error, the connection is broken and the handler
 // is not called any more.
@@ -32,6 +36,18 @@
 // BytesUnsent returns the number of bytes passed to Write that the system has not accepted yet.
 func (c *Conn) BytesUnsent() int { return int(c.bytesQueued.Load() - c.bytesSent.Load()) }
 
+// BytesUndelivered returns how many of the written bytes the peer's system has not received yet, as far as that is
+// known: those that this system has not accepted, and those in its send buffer. It asks the system.
+func (c *Conn) BytesUndelivered() int {
+	unsent := c.BytesUnsent()
+	c.withDescriptor(func(descriptor int) {
+		if queued, err := unix.IoctlGetInt(descriptor, unix.TIOCOUTQ); err == nil {
+			unsent += queued
+		}
+	})
+	return unsent
+}
+
 // NotifyWhenUnsentBelow requests one call of WriteDrained, once at most low bytes are unsent.
 func (c *Conn) NotifyWhenUnsentBelow(low int) {
 	c.lowWaterMark.Store(int64(low) + 1)
