The end of a client is noticed behind what it sent ahead; its write is not run again

Cause: with 64 KiB unparsed behind a request in flight nothing more was read, so the end of the connection stood behind it and could not be seen. The id of a request was free as soon as its client had gone, though a write runs on then.

The id of a write that must run once stays taken while its attempt runs, and 10 s longer if it may have run.

The second part is shown by a test of the router only.

--- a/internal/frontend/accounting.go
+++ b/internal/frontend/accounting.go
@@ -89,6 +89,9 @@
 	if c.lifetime.closed {
 		return
 	}
+	if c.owesResponse() && c.isTooFarAhead() {
+		c.rejectSentAhead()
+	}
 	pipelined := c.owesResponse() || c.output.backpressured
 	c.input.reader.Compact()
 	c.memory.setUnparsed(c.input.reader.HeldBytes(), pipelined)
@@ -98,7 +101,7 @@
 		c.input.trackMemoryWait(c.frontend.eventLoop.Now())
 		c.frontend.sweepSoon() // the sweep checks whether memory is available again
 	}
-	tooFarAhead := pipelined && c.input.reader.Buffered() > c.frontend.limits.Frontend.PipelinedBytes
+	tooFarAhead := pipelined && c.isTooFarAhead()
 	c.socket.SetPaused(waits || tooFarAhead || c.input.yielded || c.streamsResponse())
 }
 
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -69,7 +69,9 @@
 	c.lifetime.closeWhenAnswered = true
 	if !c.owesResponse() {
 		c.Close()
+		return
 	}
+	c.dropInput()
 }
 
 // Closed implements transport.Handler.
@@ -124,6 +126,7 @@
 		"sqlstate", err.SQLSTATE, "error", err.Reason, "pending_responses", len(c.pipeline.slots))
 	c.Respond(err.appendFatal())
 	c.lifetime.closeWhenAnswered = true
+	c.dropInput()
 }
 
 // owesResponse reports whether a request of the client has not been answered yet.
--- a/internal/frontend/errors.go
+++ b/internal/frontend/errors.go
@@ -49,6 +49,7 @@
 	errUnitTimeout       = violation("a unit of work does not go on")
 	errStartupMessage    = violation("unsupported startup message")
 	errUnreadLimit       = &ProtocolError{SQLSTATE: pgwire.ProgramLimitExceeded, Reason: "too much is left unread"}
+	errTooFarAhead       = &ProtocolError{SQLSTATE: pgwire.ProgramLimitExceeded, Reason: "too much is sent ahead"}
 	errSimpleQueriesOnly = &ProtocolError{SQLSTATE: pgwire.NotSupported, Reason: "simple queries only"}
 )
 
--- a/internal/frontend/message_reading.go
+++ b/internal/frontend/message_reading.go
@@ -11,6 +11,7 @@
 type messageInput struct {
 	reader       *pgwire.Reader
 	reading      bool          // readMessages is running
+	rejecting    bool          // requests are rejected, since the client has sent too much ahead
 	yielded      bool          // the rest of the messages that have arrived is handled in the background
 	turnMessages int           // messages that were handled in this turn of the event loop
 	turnBytes    int           // their length
@@ -36,7 +37,7 @@
 
 // Data implements transport.Handler.
 func (c *Conn) Data(data []byte) {
-	if c.lifetime.closed {
+	if c.lifetime.closed || c.lifetime.closeWhenAnswered {
 		return // the socket stays open only until the client has read its last response
 	}
 	c.input.fedBytes += int64(len(data))
@@ -63,11 +64,18 @@
 	if c.input.turnMessages < lim.TurnMessages && c.input.turnBytes < lim.TurnBytes {
 		return false
 	}
-	c.input.yielded = true
-	c.frontend.eventLoop.PostBackground(c.continueReading)
+	c.continueInBackground()
 	return true
 }
 
+// continueInBackground handles the rest of the messages that have arrived once other connections have had their turn.
+func (c *Conn) continueInBackground() {
+	if !c.input.yielded {
+		c.input.yielded = true
+		c.frontend.eventLoop.PostBackground(c.continueReading)
+	}
+}
+
 // ReceivedAt returns when the last byte of the newest message arrived at this machine. The client's deadline starts
 // then, however long the message has waited for earlier ones.
 func (c *Conn) ReceivedAt() time.Duration {
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -104,6 +104,10 @@
 // the earlier requests permit it.
 func (c *Conn) enqueue(s *slot, request router.Request, client responder) {
 	c.addSlot(s, request, client)
+	if c.input.rejecting {
+		c.rejectForCapacity(s.request, client)
+		return
+	}
 	statementBytes := c.input.messageBytes
 	if !c.Reserve(statementBytes) {
 		c.rejectForCapacity(s.request, client)
--- a/internal/pgwire/reader.go
+++ b/internal/pgwire/reader.go
@@ -106,6 +106,16 @@
 // Buffered returns the number of bytes that have arrived and that Next or NextBytes has not returned yet.
 func (r *Reader) Buffered() int { return len(r.buf) - r.start }
 
+// NextMessageBytes returns how many of the buffered bytes belong to the next message, complete or not.
+func (r *Reader) NextMessageBytes() int {
+	p := r.buf[r.start:]
+	if r.startupLimit > 0 || len(p) < headerBytes || r.truncation.keptBytes > 0 {
+		return len(p)
+	}
+	length := int64(binary.BigEndian.Uint32(p[1:]))
+	return int(min(1+length, int64(len(p))))
+}
+
 // Next returns the next complete message. ok is false if none has arrived yet. The length is checked as soon as it has
 // arrived, before the buffer grows to that size. The error is a *SizeError.
 func (r *Reader) Next() (m Message, ok bool, err error) {
--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -13,7 +13,7 @@
 var (
 	ErrUnknownClass     = errors.New("no class of that name")
 	ErrNoTimeLeft       = errors.New("no time is left to answer in")
-	ErrDuplicateRequest = errors.New("a request of that id is open")
+	ErrDuplicateRequest = errors.New("a request of that id is open") // or may have run for a client that has left
 )
 
 // connectionCheckAge is the request age above which the operating system is asked whether the client is still
@@ -57,6 +57,9 @@
 		// A client that reuses the id of another client's request must neither receive nor affect its answer.
 		return ErrDuplicateRequest
 	}
+	if r.mustRunOnce(received.Class) && r.departedWrites.contains(received.ClientRequestID, r.loop.Now()) {
+		return ErrDuplicateRequest
+	}
 	return nil
 }
 
@@ -93,6 +96,8 @@
 	if req == nil || req.finished {
 		return
 	}
+	// While an attempt runs on, the id stays taken: the same request must not be attempted twice at a time.
+	req.keepsID = r.mustRunOnce(req.Class) && req.ClientRequestID != "" && !req.attempts.provablyNotRun()
 	r.finish(req)
 	r.counts.Disconnected++
 	r.auditAnswer(req, audit.Disconnected, audit.Answer{})
@@ -125,5 +130,7 @@
 // finish marks a request as finished: its client gets no further answer.
 func (r *Router) finish(req *request) {
 	req.finished = true
-	delete(r.openClientRequestIDs, req.ClientRequestID)
+	if !req.keepsID {
+		delete(r.openClientRequestIDs, req.ClientRequestID)
+	}
 }
--- a/internal/router/disconnect_test.go
+++ b/internal/router/disconnect_test.go
@@ -1,10 +1,13 @@
 package router
 
 import (
+	"errors"
+	"strconv"
 	"testing"
 	"time"
 
 	"limeladder/balance"
+	"limeladder/internal/eventloop"
 )
 
 // When a client disconnects, the attempt of a read is cancelled, while a write runs to its end. Neither is answered.
@@ -102,3 +105,60 @@
 		t.Errorf("got %+v, %d in flight, want no answer and 0 in flight", client, router.InFlight())
 	}
 }
+
+// A client that had left came again under the id of its write, which was still running or had just run, and the write
+// ran twice. The id is taken while the attempt runs and for a while after it; that of a write that has not run is free.
+func TestWriteOfDepartedClientIsNotRunAgain(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		class   string
+		status  balance.Status
+		again   time.Duration // when the client comes again
+		wantErr error
+	}{
+		{"while it runs", writeClass, balance.StatusDone, 30 * time.Millisecond, ErrDuplicateRequest},
+		{"after it has run", writeClass, balance.StatusDone, 100 * time.Millisecond, ErrDuplicateRequest},
+		{"after it may have run", writeClass, balance.StatusReset, 100 * time.Millisecond, ErrDuplicateRequest},
+		{"after it was refused", writeClass, balance.StatusBusy, 100 * time.Millisecond, nil},
+		{"long after it has run", writeClass, balance.StatusDone, departedWriteTime + time.Second, nil},
+		{"a read", readClass, balance.StatusDone, 100 * time.Millisecond, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Hour
+			loop := eventloop.NewWithClock(func() time.Duration { return now })
+			router, peers := newTestRouterOnLoop(t, loop, true)
+			request := Request{
+				ClientRequestID: "same", Class: test.class, ClientTimeout: time.Second, ReceivedAt: now, Job: 1,
+			}
+			id := accept(t, router, request, &fakeClient{loop: loop})
+			loop.RunOnce(router.Step)
+			router.Disconnect(id)
+			now += 50 * time.Millisecond
+			if test.again > 50*time.Millisecond && !peers.attempts[0].ended {
+				peers.attempts[0].end(test.status)
+				loop.RunOnce(router.Step)
+				now += test.again
+			}
+			request.ReceivedAt = now
+			request.Job = 2
+			if _, err := router.Accept(request, &fakeClient{loop: loop}); !errors.Is(err, test.wantErr) {
+				t.Errorf("got error %v for the request that comes again, want %v", err, test.wantErr)
+			}
+		})
+	}
+}
+
+// The ids that are remembered are bounded in number.
+func TestDepartedWritesAreBounded(t *testing.T) {
+	departed := newDepartedWrites()
+	for i := range 3 * maxDepartedWrites {
+		departed.add(strconv.Itoa(i), time.Duration(i))
+	}
+	if len(departed.ids) > maxDepartedWrites || len(departed.order) != len(departed.ids) {
+		t.Errorf("got %d ids in an order of %d, want at most %d", len(departed.ids), len(departed.order), maxDepartedWrites)
+	}
+	newest := strconv.Itoa(3*maxDepartedWrites - 1)
+	if !departed.contains(newest, 0) || departed.contains("0", 0) {
+		t.Error("want the newest id remembered and the oldest one forgotten")
+	}
+}
--- a/internal/router/record.go
+++ b/internal/router/record.go
@@ -41,6 +41,7 @@
 	}
 	elapsed := attempts.elapsed(now, result.ResponseStartedAt)
 	served := result.Status == balance.StatusDone
+	attempts.hasSucceeded = attempts.hasSucceeded || served
 	if served {
 		// The failover queue has to be notified before the request is released: it releases more queued writes with
 		// each answer, and would not count the answer to a request that it no longer tracks.
@@ -113,5 +114,18 @@
 	}
 	req.stopTimer()
 	delete(r.inFlight, req.id)
+	r.releaseID(req)
 	r.failoverQueue.requestDone(req)
 }
+
+// releaseID frees the client request id of a write whose client has disconnected. If the write may have run, its id is
+// remembered.
+func (r *Router) releaseID(req *request) {
+	if !req.keepsID {
+		return
+	}
+	delete(r.openClientRequestIDs, req.ClientRequestID)
+	if req.attempts.mayHaveRun || req.attempts.hasSucceeded {
+		r.departedWrites.add(req.ClientRequestID, r.loop.Now())
+	}
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -16,6 +16,7 @@
 	answerBy time.Duration    // latest time at which the answer may be sent
 	timer    *eventloop.Timer // fires at answerBy; nil once it has fired
 	finished bool             // answered, or its client has disconnected
+	keepsID  bool             // its client has disconnected, and its id stays taken until its attempts have ended
 
 	queueable bool // the failover queue accepts its class
 	queued    bool // in the failover queue, so not submitted to the balancer
@@ -56,6 +57,7 @@
 	endpoint        string        // of the last attempt that was started
 	sentAt          time.Duration // of the last attempt that was started
 	mayHaveRun      bool          // an attempt was written and may have had an effect
+	hasSucceeded    bool          // an attempt has ended with a complete response
 	responseStarted bool          // a response is being forwarded while it arrives
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,6 +38,7 @@
 	balancerTimer        *eventloop.Timer
 	inFlight             map[string]*request // by request.id
 	openClientRequestIDs map[string]bool     // of unanswered requests
+	departedWrites       departedWrites
 	streamed             streamedResponses
 	lastRequestNumber    uint64
 	shutdownDeadline     time.Duration // latest answer time of newly accepted requests, 0 = no limit
@@ -67,6 +68,7 @@
 		instances:            cfg.Instances,
 		inFlight:             map[string]*request{},
 		openClientRequestIDs: map[string]bool{},
+		departedWrites:       newDepartedWrites(),
 		streamed:             streamedResponses{byEndpoint: map[string]int{}},
 	}, nil
 }
@@ -91,6 +93,11 @@
 	return class.Idempotency != balance.Idempotent || class.Consistency == balance.ConsistencyWrite
 }
 
+// mustRunOnce reports whether a request of the class must not run again, not even if its client sends it again.
+func (r *Router) mustRunOnce(class string) bool {
+	return r.classes[class].Idempotency == balance.NonIdempotent
+}
+
 // isIdempotent reports whether the request may safely be repeated, and rejected even if it may have been executed.
 func (r *Router) isIdempotent(req *request) bool {
 	return r.classes[req.Class].Idempotency == balance.Idempotent
