A response that has begun is delivered whole before the process exits

Cause: Shutdown.MaxTime stopped the loop whatever was owed; no deadline applies to a response that has begun.

Change: at MaxTime the process goes on while a response is being streamed or is ready and not taken, or a connection is being closed with bytes unsent, for DeliveryTime (a minute) at most. The old process of a hot restart does the same.

--- a/cmd/limeladder/shutdown.go
+++ b/cmd/limeladder/shutdown.go
@@ -30,7 +30,35 @@
 		acceptTime = 0 // the next process has the same socket and accepts all further connections
 	}
 	d.loop.AfterFunc(acceptTime, func() { d.closeListeners(func() { d.finishConnections(deadline) }) })
-	d.loop.AfterFunc(d.limits.Shutdown.MaxTime, d.loop.Stop)
+	d.loop.AfterFunc(d.limits.Shutdown.MaxTime, func() {
+		d.stopWhenDelivered(d.loop.Now() + d.limits.Shutdown.DeliveryTime)
+	})
+}
+
+// stopWhenDelivered stops the loop, at the latest at the given time. Before, it waits for responses that are still being
+// delivered: an endpoint may be slow to write a long one, or a client to read it, and no deadline applies to a response
+// that has begun. All other requests have been answered by now.
+func (d *daemon) stopWhenDelivered(latest time.Duration) {
+	now := d.loop.Now()
+	if now >= latest || !d.isDelivering() {
+		d.loop.Stop()
+		return
+	}
+	d.loop.AfterFunc(deliveryCheckInterval, func() { d.stopWhenDelivered(latest) })
+}
+
+// deliveryCheckInterval is the interval of the checks whether responses are still being delivered at the end of the
+// shutdown.
+const deliveryCheckInterval = 50 * time.Millisecond
+
+// isDelivering reports whether a client has yet to get the rest of a response.
+func (d *daemon) isDelivering() bool {
+	for _, listener := range d.listeners.open {
+		if listener.IsDelivering() {
+			return true
+		}
+	}
+	return d.engine.ClosingCount() > 0
 }
 
 // closeListeners closes the listening sockets and then calls done on the event loop. It closes them on another
--- a/cmd/limeladder/shutdown_test.go
+++ b/cmd/limeladder/shutdown_test.go
@@ -1,9 +1,13 @@
 package main
 
 import (
+	"io"
+	"net"
 	"slices"
 	"testing"
+	"time"
 
+	"limeladder/internal/pgwire"
 	"limeladder/internal/testserver"
 )
 
@@ -87,6 +91,65 @@
 	}
 }
 
+// The process exited at the end of the longest client timeout although an endpoint was still writing a long response, or
+// a client was still reading one, and the response was cut off. It exits when both are complete.
+func TestShutdownDeliversLongResponses(t *testing.T) {
+	t.Parallel()
+	const valueBytes = 2 << 20
+	router := newRouterProcess(t, func(_ byte, id string) testserver.Act {
+		switch id {
+		case "slow-server":
+			return testserver.Act{ValueBytes: valueBytes, WritePause: 150 * time.Millisecond} // 4.8 s in all
+		case "slow-client":
+			return testserver.Act{ValueBytes: valueBytes}
+		}
+		return testserver.Act{}
+	})
+	router.writeFile("deploy.toml", "")
+	router.start()
+	received := make(chan int, 2)
+	for _, id := range []string{"slow-server", "slow-client"} {
+		conn, err := net.Dial("tcp", router.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10) // as small as the system permits
+		conn.SetDeadline(time.Now().Add(30 * time.Second))
+		startup := pgwire.AppendStartup(nil, "user", "x")
+		if _, err := conn.Write(pgwire.AppendQuery(startup, statement(id, "look"))); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			pause := time.Duration(0)
+			if id == "slow-client" {
+				pause = 35 * time.Millisecond // 4.5 s for 128 pieces
+			}
+			received <- readInPieces(conn, valueBytes/128, pause)
+		}()
+	}
+	time.Sleep(300 * time.Millisecond) // both responses have begun
+	router.stop()
+	for range 2 {
+		if bytes := <-received; bytes < valueBytes {
+			t.Errorf("got %d bytes of a value of %d, want all", bytes, valueBytes)
+		}
+	}
+}
+
+// readInPieces reads to the end of a connection, with a pause after each piece, and returns how many bytes it has read.
+func readInPieces(conn net.Conn, pieceBytes int, pause time.Duration) (total int) {
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := io.ReadFull(conn, piece)
+		total += n
+		if err != nil {
+			return total
+		}
+		time.Sleep(pause)
+	}
+}
+
 // requireClosed fails the test unless the router closes a connection without truncating a response.
 func requireClosed(t *testing.T, client *testserver.Client) {
 	t.Helper()
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -113,6 +113,17 @@
 	c.Close()
 }
 
+// IsDelivering reports whether a part of a response has been sent, or is ready to be sent, and the rest has not been
+// accepted by the system yet.
+func (f *Frontend) IsDelivering() bool {
+	for c := range f.connections {
+		if c.streamsResponse() || c.socket.BytesUnsent() > 0 || c.pipeline.hasAnswered() {
+			return true
+		}
+	}
+	return false
+}
+
 // fullyAnswered reports whether the session was started and everything that the client sent was answered.
 func (c *Conn) fullyAnswered() bool {
 	if !c.lifetime.started || c.lifetime.closed {
--- a/internal/frontend/pipeline.go
+++ b/internal/frontend/pipeline.go
@@ -35,6 +35,9 @@
 	return !p.empty() && p.newest().state == slotQueued
 }
 
+// hasAnswered reports whether a complete response is first and only waits for the client to read more.
+func (p *pipeline) hasAnswered() bool { return !p.empty() && p.slots[0].state == slotAnswered }
+
 func (p *pipeline) add(s *slot) { p.slots = append(p.slots, s) }
 
 func (p *pipeline) removeFirst() { p.slots = p.slots[1:] }
--- a/internal/limits/compute.go
+++ b/internal/limits/compute.go
@@ -195,6 +195,7 @@
 		AcceptTime:     500 * time.Millisecond,
 		GuaranteedTime: min(longestRequest, guaranteedShutdown) + shutdownMargin,
 		MaxTime:        longestRequest + shutdownMargin,
+		DeliveryTime:   time.Minute, // the platform ends a process that it does not wait for
 	}
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -133,7 +133,8 @@
 type Shutdown struct {
 	AcceptTime     time.Duration // until connections are no longer accepted
 	GuaranteedTime time.Duration // guaranteed by the platform; requests received after AcceptTime are answered by then
-	MaxTime        time.Duration // until the program exits
+	MaxTime        time.Duration // until the program exits, unless responses that have begun are still being delivered
+	DeliveryTime   time.Duration // after MaxTime: until it exits in any case
 }
 
 // HotRestart bounds the communication with the other process of the same router.
