--- a/cmd/limeladder/shutdown.go
+++ b/cmd/limeladder/shutdown.go
@@ -35,9 +35,9 @@
 	})
 }
 
-// stopWhenDelivered stops the loop, at the latest at the given time. Before, it waits for responses that are still being
-// delivered: an endpoint may be slow to write a long one, or a client to read it, and no deadline applies to a response
-// that has begun. All other requests have been answered by now.
+// stopWhenDelivered stops the loop, at the latest at the given time. Before, it waits for responses that are still
+// being delivered: an endpoint may be slow to write a long one, or a client to read it, and no deadline applies to a
+// response that has begun. All other requests have been answered by now.
 func (d *daemon) stopWhenDelivered(latest time.Duration) {
 	now := d.loop.Now()
 	if now >= latest || !d.isDelivering() {
--- a/cmd/limeladder/shutdown_test.go
+++ b/cmd/limeladder/shutdown_test.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// The process exited at the end of the longest client timeout although an endpoint was still writing a long response, or
-// a client was still reading one, and the response was cut off. It exits when both are complete.
+// The process exited at the end of the longest client timeout although an endpoint was still writing a long response,
+// or a client was still reading one, and the response was cut off. It exits when both are complete.
 func TestShutdownDeliversLongResponses(t *testing.T) {
 	t.Parallel()
 	const valueBytes = 2 << 20
--- a/internal/transport/inbox_test.go
+++ b/internal/transport/inbox_test.go
@@ -89,3 +89,23 @@
 	close(release)
 	<-accepted
 }
+
+// Bytes that a read in progress has taken from the socket are not in the inbox yet. A connection that was closed as
+// idle at that moment lost a request.
+func TestReadInProgressMayHaveSomethingToReport(t *testing.T) {
+	loop, engine := newTestEngine(t)
+	conn, _ := newPair(t, engine, discardHandler{})
+	idle := func() (nothing bool) {
+		runInLoop(loop, func() { nothing = conn.HasNothingToReport() })
+		return nothing
+	}
+	waitUntil(t, "nothing is being read", idle)
+	conn.readMutex.Lock()
+	if idle() {
+		t.Error("nothing is left to report while the socket is being read, want something")
+	}
+	conn.readMutex.Unlock()
+	if !idle() {
+		t.Error("something is left to report after the read, want nothing")
+	}
+}
--- a/internal/transport/read.go
+++ b/internal/transport/read.go
@@ -145,6 +145,10 @@
 // received data nor the end of the connection. It checks the socket itself, because the poller may not have processed
 // the latest events.
 func (c *Conn) HasNothingToReport() bool {
+	if !c.readMutex.TryLock() {
+		return false // a read in progress may have taken bytes from the socket that are not in the inbox yet
+	}
+	defer c.readMutex.Unlock()
 	c.mutex.Lock()
 	waiting := len(c.inbox) > 0
 	c.mutex.Unlock()
