What has come while the loop was held up counts before timeouts do

Cause: the loop called the timers that were due before what had been posted while it was busy. A response that had come in time was taken for one that had stopped; a streamed one was cut off, with its client's connection.

Change: functions posted during a long turn go before the timers; the timers that end a response, a health check or a silent client first ask whether something is unread.

Measured: TestTimersRunBehindWhatCameMeanwhile and TestHeldUpRouterDoesNotCutResponses (kept and streamed responses) fail without the change and pass with it.

--- a/internal/backend/health_check.go
+++ b/internal/backend/health_check.go
@@ -26,22 +26,34 @@
 		}
 		done(result)
 	}
-	a.timeoutTimer = p.loop.AfterFunc(timeout, func() {
-		neverSent := a.NotWritten()
-		a.Cancel()
-		e := p.endpoints[id]
-		if neverSent && e != nil && e.starting == 0 {
-			done(router.Result{Status: balance.StatusNotSent}) // no connection was free, which says nothing about the endpoint
-			return
-		}
-		if e != nil {
-			e.closeIdle() // an endpoint that does not respond to a health check is assumed to respond on no connection
-		}
-		done(router.Result{Status: balance.StatusTimedOut})
-	})
+	a.timeoutTimer = p.loop.AfterFunc(timeout, func() { p.endHealthCheck(id, a, done) })
 	p.startAttempt(id, a)
 }
 
+// endHealthCheck ends a health check that was not answered in time.
+func (p *Pool) endHealthCheck(id string, a *attempt, done func(router.Result)) {
+	if a.connection != nil && !a.connection.socket.HasNothingToReport() {
+		// The response has come and was not read yet, because the router itself was held up.
+		a.timeoutTimer = p.loop.AfterFunc(p.limits.Backend.RedialAfter, func() { p.timeOutHealthCheck(id, a, done) })
+		return
+	}
+	p.timeOutHealthCheck(id, a, done)
+}
+
+func (p *Pool) timeOutHealthCheck(id string, a *attempt, done func(router.Result)) {
+	neverSent := a.NotWritten()
+	a.Cancel()
+	e := p.endpoints[id]
+	if neverSent && e != nil && e.starting == 0 {
+		done(router.Result{Status: balance.StatusNotSent}) // no connection was free, which says nothing about the endpoint
+		return
+	}
+	if e != nil {
+		e.closeIdle() // an endpoint that does not respond to a health check is assumed to respond on no connection
+	}
+	done(router.Result{Status: balance.StatusTimedOut})
+}
+
 // healthCheck is the Job that requests a load report.
 type healthCheck struct{}
 
--- a/internal/backend/receive.go
+++ b/internal/backend/receive.go
@@ -78,10 +78,20 @@
 	}
 	c.progressTimer.Stop()
 	if !c.closed && !c.paused && c.expectsMore() {
-		c.progressTimer = c.endpoint.pool.loop.AfterFunc(timeout, func() { c.handleViolation(errResponseStalled) })
+		c.progressTimer = c.endpoint.pool.loop.AfterFunc(timeout, c.handleStall)
 	}
 }
 
+// handleStall ends a response of which nothing more has come in time. If more has come and was not read yet, because
+// the router itself was held up, the wait begins anew.
+func (c *connection) handleStall() {
+	if !c.socket.HasNothingToReport() {
+		c.resetProgressTimer()
+		return
+	}
+	c.handleViolation(errResponseStalled)
+}
+
 // expectsMore reports whether a message or a response has been received in part and the rest should follow soon.
 func (c *connection) expectsMore() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/backend/stream_test.go
+++ b/internal/backend/stream_test.go
@@ -169,3 +169,46 @@
 		})
 	}
 }
+
+// A router that was held up took a response that had come meanwhile for one that had stopped, and a long one that was
+// being streamed was cut off.
+func TestHeldUpRouterDoesNotCutResponses(t *testing.T) {
+	lim := testLimits()
+	lim.Backend.StallTimeout = 100 * time.Millisecond
+	lim.Backend.StreamStallTimeout = 100 * time.Millisecond
+	for name, length := range map[string]int{"kept": 20_000, "streamed": 300_000} {
+		t.Run(name, func(t *testing.T) {
+			response := longResponse(length, 0)
+			begun := make(chan bool)
+			proceed := make(chan bool)
+			addr := serveConnections(t, func(c net.Conn) {
+				buffer := make([]byte, 4096)
+				_, _ = c.Read(buffer)
+				_, _ = c.Write([]byte("R\x00\x00\x00\x08\x00\x00\x00\x00Z\x00\x00\x00\x05I"))
+				_, _ = c.Read(buffer)
+				_, _ = c.Write(response[:length/2])
+				begun <- true
+				<-proceed
+				_, _ = c.Write(response[length/2:])
+			})
+			p := newTestPool(t, lim, addr)
+			client := &streamClient{t: t, pool: p, paused: true} // it never pauses
+			done := make(chan router.Result, 9)
+			p.loop.Post(func() {
+				p.pool.Start(router.Attempt{
+					Endpoint: "n", Job: testJob("r"), Deadline: p.loop.Now() + 10*time.Second,
+					OnResponseStarted: client.responseStarted, OnResponsePart: client.responsePart,
+				}, func(result router.Result) { done <- result })
+			})
+			<-begun
+			time.Sleep(30 * time.Millisecond) // the first half is processed
+			p.loop.Post(func() {
+				proceed <- true
+				time.Sleep(3 * lim.Backend.StallTimeout)
+			})
+			if result := p.await(done); result.Status != balance.StatusDone {
+				t.Errorf("status %v, want the response complete", result.Status)
+			}
+		})
+	}
+}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// maxBatchTime is how long posted functions may take before those that were posted meanwhile go before the timers.
+const maxBatchTime = time.Millisecond
+
 // maxIdle is how long Run waits when no timer is pending.
 const maxIdle = time.Hour
 
@@ -129,6 +132,25 @@
 // runQueued calls the posted functions, then the due timers. The slice spare is reused for the new queue; the slice
 // returned is the spare one for the next call.
 func (l *Loop) runQueued(spare []func()) []func() {
+	startedAt := l.Now()
+	batch := l.runBatch(spare)
+	now := l.Now()
+	if now-startedAt > maxBatchTime && l.timers.isDue(now) {
+		// What has come while the loop was busy goes first: a timer must not find that nothing has come from a peer.
+		batch = l.runBatch(batch)
+	}
+	for l.timers.isDue(now) {
+		t := l.timers.popFirst()
+		l.runUrgent()
+		t.callback()
+	}
+	l.runUrgent()
+	l.runBackground()
+	return batch
+}
+
+// runBatch calls the functions that have been posted, and returns their slice to be reused.
+func (l *Loop) runBatch(spare []func()) []func() {
 	l.mutex.Lock()
 	batch := l.queue
 	l.queue = spare[:0]
@@ -138,14 +160,6 @@
 		l.runUrgent()
 		f()
 	}
-	now := l.Now()
-	for l.timers.isDue(now) {
-		t := l.timers.popFirst()
-		l.runUrgent()
-		t.callback()
-	}
-	l.runUrgent()
-	l.runBackground()
 	return batch
 }
 
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -112,3 +112,22 @@
 		t.Fatalf("functions ran in the order %v, want %v", order, want)
 	}
 }
+
+// While the loop was held up, timers ran before what had come meanwhile: a response that had come in time was taken for
+// one that had not. What was posted before a timer runs goes first.
+func TestTimersRunBehindWhatCameMeanwhile(t *testing.T) {
+	l := New()
+	var order []string
+	l.AfterFunc(time.Millisecond, func() {
+		order = append(order, "timer")
+		l.Stop()
+	})
+	l.Post(func() {
+		time.Sleep(20 * time.Millisecond)
+		l.Post(func() { order = append(order, "posted") })
+	})
+	l.Run(func() {})
+	if !slices.Equal(order, []string{"posted", "timer"}) {
+		t.Fatalf("order %v, want the posted function before the timer", order)
+	}
+}
--- a/internal/frontend/timeouts.go
+++ b/internal/frontend/timeouts.go
@@ -20,12 +20,23 @@
 		return errResponsesUnread
 	case c.owesResponse():
 		return nil
+	case c.messageOverdue(now):
+		return errMessageTimeout
+	}
+	err := c.silenceOverdue(now)
+	if err != nil && !c.socket.HasNothingToReport() {
+		return nil // what the client has sent was not read yet, because the router itself was held up
+	}
+	return err
+}
+
+// silenceOverdue returns the error of the timeout that a client has exceeded that has not sent what is due, or nil.
+func (c *Conn) silenceOverdue(now time.Duration) *ProtocolError {
+	switch {
 	case c.startupOverdue(now):
 		return errStartupTimeout
 	case c.firstCommandOverdue(now):
 		return errCommandTimeout
-	case c.messageOverdue(now):
-		return errMessageTimeout
 	case c.unitOverdue(now):
 		return errUnitTimeout
 	}
