Clients may send ahead a 128th of memory, and rejections are fewer while memory is short

Cause: with the limit of 64 KiB to a 256th of memory, clients that send some long statements ahead would have the middle ones rejected; and 64 KiB of rejections for each connection was one more bound with none for all together.

Change: PipelinedBytes is a 128th of memory, 64 KiB at least (all clients together keep the limit of half of BufferedBytes); while memory is short a connection may have ReservedInputBytes of rejections waiting. Tried and left out: rejecting under the limit of all clients too, which took the memory of others for the rejections (TestPipelinedFloodLeavesMemoryForOthers failed).

--- a/internal/frontend/sent_ahead.go
+++ b/internal/frontend/sent_ahead.go
@@ -7,7 +7,8 @@
 // requests that wait are rejected then, the first ones first, so that reading can go on. A client that sends still more
 // is told so, and its connection is closed after the responses that are due.
 
-// maxRejectionBytes is how much the rejections that wait for an earlier response may take on one connection.
+// maxRejectionBytes is how much the rejections that wait for an earlier response may take on one connection. While
+// memory is short it is less.
 const maxRejectionBytes = 64 << 10
 
 // sentAheadBytes returns how much has arrived behind the next message, which may be long.
@@ -60,7 +61,8 @@
 		return
 	}
 	c.pipeline.mergeNewest()
-	if newest := c.pipeline.newest(); newest != nil && newest.bufferedBytes > maxRejectionBytes {
+	most := min(maxRejectionBytes, c.maxBacklogBytes())
+	if newest := c.pipeline.newest(); newest != nil && newest.bufferedBytes > most {
 		c.closeWithErrorInOrder(errTooFarAhead)
 	}
 }
--- a/internal/limits/compute.go
+++ b/internal/limits/compute.go
@@ -91,7 +91,7 @@
 		TurnBytes:      64 * kib,
 		StartupBytes:   10_000,
 		MessageBytes:   largestMessage(memoryMiB),
-		PipelinedBytes: max(64*kib, memoryMiB*mib/256),
+		PipelinedBytes: max(64*kib, memoryMiB*mib/128),
 		// Even if all connections keep as much as this, they take no more than half of BufferedBytes.
 		ReservedInputBytes: min(16*kib, bufferedBytes/2/max(1, connections)),
 		BufferedBytes:      bufferedBytes,
