A client that receives nothing is closed also if the system took its answers

Cause: since further requests of a client that reads slowly are not accepted, all that was written may lie in the system's send buffer, and the check for clients that read nothing looked only at what the system had not taken; such a client stayed for good.

Change: while a connection waits for its client to receive more, only that counts as progress. It is checked every 40 ms at the latest (80 before). At least one response may be streamed however few descriptors there are.

--- a/internal/frontend/response_stream.go
+++ b/internal/frontend/response_stream.go
@@ -13,6 +13,7 @@
 	backpressured bool                  // no further message or response is started until the client has read more
 	deliveryCheck *eventloop.Timer      // checks again whether the client has read more, nil = nothing waits for that
 	deliveryDelay time.Duration         // time to the next such check
+	undelivered   int                   // bytes that the client had not received at the last such check
 	checkedBytes  int64                 // bytes written when the client had last been found to have read almost all
 
 	unsentBytes    int           // bytes that the client had not accepted at the last sweep
@@ -143,7 +144,7 @@
 // The bounds of the time between two checks whether a client has read more, which doubles with each check.
 const (
 	minDeliveryDelay = time.Millisecond
-	maxDeliveryDelay = 80 * time.Millisecond
+	maxDeliveryDelay = 40 * time.Millisecond
 )
 
 // readsSlowly reports whether most of a send buffer waits to be received by the client. Its next request would add a
@@ -156,6 +157,10 @@
 		return false // no more than that can be left
 	}
 	undelivered := c.socket.BytesUndelivered()
+	if undelivered < c.output.undelivered {
+		c.output.lastProgressAt = c.frontend.eventLoop.Now()
+	}
+	c.output.undelivered = undelivered
 	if undelivered > lim.LowWaterBytes {
 		return true
 	}
--- a/internal/frontend/slow_reader_test.go
+++ b/internal/frontend/slow_reader_test.go
@@ -81,3 +81,28 @@
 		}
 	})
 }
+
+// A client that receives nothing is closed after UnreadTimeout, also if the system has accepted all that was written to
+// it: its further requests are not read meanwhile.
+func TestClientThatReceivesNothingIsClosed(t *testing.T) {
+	lim := defaultLimits()
+	lim.Frontend.UnreadTimeout = 400 * time.Millisecond
+	frontend, fake, loop, addr := startWith(t, lim)
+	conn := dialSlowReader(t, addr, pgwire.AppendStartup(nil, "user", "x"))
+	defer conn.Close()
+	var all []byte
+	for i := range 12 {
+		all = append(all, queryWithID(fmt.Sprint("r", i), "write")...)
+	}
+	write(t, conn, all)
+	served := 0
+	waitUntil(t, "the connection is closed", func() (closed bool) {
+		runInLoop(loop, func() {
+			for ; served < len(fake.requests); served++ {
+				fake.clients[served].Served(valueResponse(strings.Repeat("x", 60_000)))
+			}
+			closed = served > 0 && frontend.ConnectionCount() == 0
+		})
+		return closed
+	})
+}
--- a/internal/frontend/timeouts.go
+++ b/internal/frontend/timeouts.go
@@ -6,7 +6,8 @@
 // response as long as it reads some of it.
 func (c *Conn) trackProgress(now time.Duration) {
 	c.output.unsentBytes = c.socket.BytesUnsent()
-	if c.output.unsentBytes == 0 || c.socket.BytesSent() > c.output.progressBytes {
+	allReceived := c.output.unsentBytes == 0 && c.output.deliveryCheck == nil
+	if allReceived || c.socket.BytesSent() > c.output.progressBytes {
 		c.output.lastProgressAt = now
 		c.output.progressBytes = c.socket.BytesSent()
 	}
--- a/internal/limits/compute.go
+++ b/internal/limits/compute.go
@@ -134,7 +134,7 @@
 	return Router{
 		InFlightRequests: 4 * free,
 		// Half of the connections to endpoints are left to short responses.
-		StreamedResponses:   backendConnections(free) / 2,
+		StreamedResponses:   max(1, backendConnections(free)/2),
 		StreamedPerEndpoint: connectionsPerEndpoint(free) / 2,
 		PendingWrites:       4 * free,
 		PendingWriteBytes:   memoryMiB * mib / 16,
