--- a/cmd/limeladder/hot_restart_test.go
+++ b/cmd/limeladder/hot_restart_test.go
@@ -216,3 +216,32 @@
 	}
 	return descriptor
 }
+
+// A client sends a write to the old process and leaves while it runs. It comes again under the same id at the new
+// process: the write must not run a second time there.
+func TestDepartedWriteIsNotRunByTheOtherProcess(t *testing.T) {
+	begun := make(chan bool, 9)
+	router := newRouterProcess(t, func(_ byte, id string) testserver.Act {
+		if id != "same" {
+			return testserver.Act{}
+		}
+		begun <- true
+		return testserver.Act{Delay: 1500 * time.Millisecond}
+	})
+	router.writeFile("deploy.toml", "")
+	start := router.useInheritedSocket()
+	old := start()
+	client := testserver.Dial(t, router.address)
+	client.Send(queryMessage(statement("same", "job")))
+	<-begun
+	start()
+	signalProcess(t, old, syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond) // its socket is inherited, so it accepts no more clients
+	client.Close()
+	again := testserver.Dial(t, router.address)
+	again.Send(queryMessage(statement("same", "job")))
+	again.Until('Z')
+	if runs := router.primary.Runs("same"); runs > 1 {
+		t.Errorf("the write ran %d times, want once", runs)
+	}
+}
