The entries of the store's log are bounded in bytes, not only in number

What could be seen: nothing yet; a change of the endpoint list is about to be stored each time, and a list of 120 endpoints takes about 24 KB in an entry.

With lists of that size that is over 40 MB (computed, not measured), where a router may have 32.

The tests of internal/store and internal/limits pass.

--- a/cmd/limeladder/store.go
+++ b/cmd/limeladder/store.go
@@ -43,6 +43,7 @@
 		Folder:       settings.Folder,
 		Peers:        settings.Peers,
 		LogEntries:   d.limits.Store.LogEntries,
+		LogBytes:     int64(d.limits.Store.LogBytes),
 		QueuedWrites: d.limits.Store.QueuedWrites,
 		TLS:          store.TLSFiles{CA: settings.CA, Cert: settings.Cert, Key: settings.Key},
 		Purge:        holdsSecret,
--- a/internal/limits/compute.go
+++ b/internal/limits/compute.go
@@ -39,7 +39,7 @@
 		HotRestart: HotRestart{PollInterval: 100 * time.Millisecond},
 		Audit:      audit(memoryMiB),
 		Syslog:     syslog(memoryMiB),
-		Store:      Store{QueuedWrites: 64, LogEntries: 1024},
+		Store:      Store{QueuedWrites: 64, LogEntries: 1024, LogBytes: memoryMiB * mib / 32},
 	}
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -169,4 +169,5 @@
 type Store struct {
 	QueuedWrites int // writes that wait to be committed
 	LogEntries   int // log entries before a snapshot replaces them
+	LogBytes     int // total length of the log entries before a snapshot replaces them
 }
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -29,15 +29,20 @@
 		ProposedAt: now(),
 		Ops:        []fsm.Op{{Key: key, Value: append([]byte(nil), value...)}},
 	}
+	s.queued.Add(1)
 	select {
 	case s.queue <- change:
 		return true
 	default:
+		s.queued.Add(-1)
 		s.dropped.Add(1)
 		return false
 	}
 }
 
+// HasQueuedWrites reports whether the outcome of a write that Put has queued is not known yet.
+func (s *Store) HasQueuedWrites() bool { return s.queued.Load() > 0 }
+
 // Dropped returns the number of writes that were dropped because the queue was full.
 func (s *Store) Dropped() uint64 { return s.dropped.Load() }
 
@@ -51,6 +56,7 @@
 		case change := <-s.queue:
 			change.ID = s.newChangeID()
 			s.commitUntilOutcomeKnown(change)
+			s.queued.Add(-1)
 		}
 	}
 }
--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/hashicorp/raft"
 
@@ -93,8 +94,35 @@
 	return nil
 }
 
+// logCheckInterval is the interval of the checks of the log's length.
+const logCheckInterval = time.Second
+
+// limitLogBytes replaces the log by a snapshot whenever its entries exceed the limit, until the store is closed. The
+// number of entries alone does not bound the memory, because an entry may contain a whole endpoint list.
+func (s *Store) limitLogBytes() {
+	defer s.done.Done()
+	ticker := time.NewTicker(logCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.quit:
+			return
+		case <-ticker.C:
+		}
+		if s.wal.dataBytes() <= s.cfg.LogBytes {
+			continue
+		}
+		// It fails while no entry has been applied, and is tried again.
+		if err := s.snapshotWithoutTrailingLogs(); err != nil {
+			s.log.Debug("store log not compacted", "error", err)
+		}
+	}
+}
+
 // snapshotWithoutTrailingLogs takes a snapshot and deletes all log entries that it covers.
 func (s *Store) snapshotWithoutTrailingLogs() error {
+	s.compacting.Lock()
+	defer s.compacting.Unlock()
 	before := s.raft.ReloadableConfig()
 	without := before
 	without.TrailingLogs = 0
--- a/internal/store/wal.go
+++ b/internal/store/wal.go
@@ -21,6 +21,7 @@
 	entries    map[uint64]*raft.Log // by index, without gaps
 	firstIndex uint64               // 0 if there are no entries
 	lastIndex  uint64
+	entryBytes int64 // total length of the data of the entries
 	stable     map[string][]byte
 	tornBytes  int64 // size of the torn record that was cut off when the log was opened
 
@@ -64,7 +65,11 @@
 // apply applies a record to the copy in memory.
 func (w *wal) apply(record walRecord) {
 	for _, entry := range record.Entries {
+		if replaced := w.entries[entry.Index]; replaced != nil {
+			w.entryBytes -= int64(len(replaced.Data))
+		}
 		w.entries[entry.Index] = entry
+		w.entryBytes += int64(len(entry.Data))
 		if w.firstIndex == 0 || entry.Index < w.firstIndex {
 			w.firstIndex = entry.Index
 		}
@@ -81,6 +86,7 @@
 // deleteEntries deletes a range of entries, which must include the first or the last entry of the log.
 func (w *wal) deleteEntries(first, last uint64) {
 	for index := max(first, w.firstIndex); index <= min(last, w.lastIndex); index++ {
+		w.entryBytes -= int64(len(w.entries[index].Data))
 		delete(w.entries, index)
 	}
 	switch {
@@ -94,6 +100,13 @@
 	}
 }
 
+// dataBytes returns the total length of the data of the entries, which are kept in memory.
+func (w *wal) dataBytes() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entryBytes
+}
+
 func (w *wal) close() error { return w.file.Close() }
 
 // FirstIndex implements raft.LogStore.
