A restarted router keeps the newer list, and changes of the list are stored

A router restarted while discovery is down sends a third of the reads to an endpoint that it knew to drain; in a fleet of more than four routers also long after discovery is back.

Cause: PollFailed put the stored list in the place of the list in hand without comparing them, and the watch went on from the other list's version. The stored list was old, as only complete lists were stored: not changes, and not a list that came before the store was open.

Change: internal/membership decides which list is newer, for configured, stored and shared lists alike; the watch resumes from the winner's version.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -8,6 +8,7 @@
 	"limeladder/internal/discovery"
 	"limeladder/internal/eventloop"
 	"limeladder/internal/limits"
+	"limeladder/internal/membership"
 	"limeladder/internal/router"
 	"limeladder/internal/store"
 	"limeladder/internal/transport"
@@ -29,7 +30,8 @@
 	pool           *backend.Pool
 	watcher        *discovery.Watcher
 	listeners      listeners
-	endpoints      endpointList
+	endpoints      *membership.View
+	listWriter     endpointListWriter
 	knownEndpoints knownEndpoints
 	hotRestart     hotRestart
 	shutdown       shutdownState
@@ -46,7 +48,7 @@
 		name:      cfg.Name,
 		deploy:    deploy,
 		loop:      eventloop.New(),
-		endpoints: newEndpointList(),
+		endpoints: membership.NewView(),
 	}
 	d.limits = computeLimits(cfg, deploy)
 	previous := d.joinHotRestart(cfg)
--- a/cmd/limeladder/endpoint_list.go
+++ b/cmd/limeladder/endpoint_list.go
@@ -2,11 +2,10 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 
 	"limeladder/balance"
 	"limeladder/internal/config"
+	"limeladder/internal/membership"
 )
 
 // The states in which discovery lists endpoints.
@@ -16,43 +15,6 @@
 	endpointRemoved  = "gone" // no longer in the list
 )
 
-// endpointList is the endpoint list as this process last received it.
-type endpointList struct {
-	byID    map[string]config.EndpointEntry
-	version int64
-
-	// received is true if the list came from discovery or is the last one that the peers stored.
-	received bool
-}
-
-func newEndpointList() endpointList {
-	return endpointList{byID: map[string]config.EndpointEntry{}}
-}
-
-// apply applies a watch event to the list.
-func (l *endpointList) apply(event config.EndpointList, kind balance.EndpointListKind) {
-	if kind != balance.ListDelta {
-		clear(l.byID)
-	}
-	for _, entry := range event.Endpoints {
-		if entry.State == endpointRemoved {
-			delete(l.byID, entry.ID)
-		} else {
-			l.byID[entry.ID] = entry
-		}
-	}
-	l.version = event.Version
-}
-
-// complete returns the whole list, ordered by id.
-func (l *endpointList) complete() config.EndpointList {
-	list := config.EndpointList{Version: l.version, Full: true}
-	for _, id := range slices.Sorted(maps.Keys(l.byID)) {
-		list.Endpoints = append(list.Endpoints, l.byID[id])
-	}
-	return list
-}
-
 // knownEndpoints holds the ids of all endpoints that were ever listed, up to a maximum number.
 type knownEndpoints struct {
 	ids   map[string]bool
@@ -82,17 +44,16 @@
 
 // startDiscovery applies the endpoint list of the configuration, which may be outdated, and starts to follow discovery.
 // Clients are accepted once discovery has answered or the timeout for the first list has expired, or at once if the
-// watch resumes from the configured list.
+// watch resumes from the list in hand.
 func (d *daemon) startDiscovery(cfg *config.Config) {
-	configured := config.EndpointList{}
+	configured := membership.Snapshot{}
 	if cfg.KnownEndpoints != nil {
-		configured = *cfg.KnownEndpoints
+		configured.EndpointList = *cfg.KnownEndpoints
 	}
-	d.applyEndpointList(configured, balance.ListCached)
+	d.replaceEndpointList(configured, membership.Configured)
 	d.restoreFailoverTerms()
 	readyWithin := d.limits.Discovery.FirstListTimeout
-	if d.limits.Discovery.ResumeFromKnown && len(configured.Endpoints) > 0 {
-		d.watcher.ResumeFrom(configured.Version)
+	if d.limits.Discovery.ResumeFromKnown && d.endpoints.Len() > 0 {
 		readyWithin = 0
 	}
 	if !cfg.Balance.PollDiscovery { // otherwise the decision module decides when to poll
@@ -107,44 +68,58 @@
 	if event.Full {
 		kind = balance.ListFull
 	}
-	d.endpoints.received = true
-	d.applyEndpointList(event, kind)
-	if event.Full || len(event.Endpoints) > 0 {
+	firstAnswer := d.endpoints.Source() != membership.Received
+	d.endpoints.Receive(event)
+	d.endpointListChanged(event, kind)
+	if event.Full || len(event.Endpoints) > 0 || firstAnswer {
 		d.shareEndpointList()
+		d.storeEndpointList()
 	}
 	d.becomeReady()
-	if event.Full {
-		d.storeValue(endpointListKey, event)
-	}
 }
 
-// PollFailed implements discovery.Listener. If discovery has not answered since the start, the last list that the peers
-// stored is applied, which is better than none.
+// PollFailed implements discovery.Listener. If discovery has not answered since the start, the list that the peers
+// stored is applied if it is newer.
 func (d *daemon) PollFailed(silent bool) {
 	kind := balance.ListFailed
 	if silent {
 		kind = balance.ListSilent
 	}
 	d.core.UpdateEndpoints(balance.EndpointList{Kind: kind})
-	if d.endpoints.received {
+	var stored membership.Snapshot
+	if d.loadValue(endpointListKey, &stored) {
+		d.offerEndpointList(stored, membership.Stored)
+	}
+}
+
+// offerEndpointList applies a complete list that did not come from discovery, unless the list in hand is as new.
+func (d *daemon) offerEndpointList(list membership.Snapshot, source membership.Source) {
+	if !d.endpoints.Accepts(list) {
 		return
 	}
-	var stored config.EndpointList
-	if d.loadValue(endpointListKey, &stored) {
-		d.endpoints.received = true
-		d.applyEndpointList(stored, balance.ListCached)
+	d.log.Info("newer endpoint list found", "source", source.String(), "version", list.Version)
+	d.replaceEndpointList(list, source)
+	d.shareEndpointList()
+}
+
+// replaceEndpointList applies a complete list that did not come from discovery. The watch requests the changes since
+// that list: those since an older one could undo a part of it, and those since a newer one would miss some.
+func (d *daemon) replaceEndpointList(list membership.Snapshot, source membership.Source) {
+	d.endpoints.Replace(list, source)
+	d.endpointListChanged(list.EndpointList, balance.ListCached)
+	if d.limits.Discovery.ResumeFromKnown && len(list.Endpoints) > 0 {
+		d.watcher.ResumeFrom(list.Version)
 	}
 }
 
-// applyEndpointList passes a watch event or a cached list to every subsystem that depends on the endpoint list.
-func (d *daemon) applyEndpointList(event config.EndpointList, kind balance.EndpointListKind) {
+// endpointListChanged passes a watch event or a cached list to every subsystem that depends on the endpoint list.
+func (d *daemon) endpointListChanged(event config.EndpointList, kind balance.EndpointListKind) {
 	d.pool.UpdateEndpoints(event)
 	if len(event.Endpoints) > 0 {
 		d.log.Info("endpoint list updated",
 			"version", event.Version, "full", event.Full, "endpoints", fmt.Sprint(event.Endpoints))
 	}
 	newIDs := d.unknownIDs(event)
-	d.endpoints.apply(event, kind)
 	d.recording.endpointListChanged(event, kind)
 	d.core.UpdateEndpoints(balanceEndpointList(event, kind))
 	if len(newIDs) > 0 {
--- a/cmd/limeladder/failover.go
+++ b/cmd/limeladder/failover.go
@@ -10,6 +10,7 @@
 	"limeladder/balance"
 	"limeladder/internal/config"
 	"limeladder/internal/failover"
+	"limeladder/internal/membership"
 )
 
 // initialWorkDivisor divides a class's latency objective: the quotient is the time that one request of the class is
@@ -111,7 +112,7 @@
 
 // failoverTermsAvailable reports whether the store has caught up and the replica groups are known.
 func (d *daemon) failoverTermsAvailable() bool {
-	return d.store != nil && d.store.Ready() && d.endpoints.received
+	return d.store != nil && d.store.Ready() && d.endpoints.Source() != membership.Configured
 }
 
 // groupStatus is the failover state of a replica group as returned to operators. Times are in milliseconds; those of
--- a/cmd/limeladder/hot_restart.go
+++ b/cmd/limeladder/hot_restart.go
@@ -5,10 +5,10 @@
 	"os"
 	"runtime/debug"
 
-	"limeladder/balance"
 	"limeladder/internal/config"
 	"limeladder/internal/hotrestart"
 	"limeladder/internal/limits"
+	"limeladder/internal/membership"
 )
 
 // requestedByOtherProcess identifies the other process of this router in the audit record as the source of a change.
@@ -69,29 +69,24 @@
 	d.knownEndpoints.add(ids, d.limits.Discovery.KnownEndpoints)
 }
 
-// shareEndpointList passes the list that this process received from discovery to the other process. A new process
-// whose own calls to discovery are not answered would otherwise send requests to endpoints that this one knows to be
-// draining.
+// shareEndpointList passes the list that this process goes by to the other process, unless it is only the configured
+// one. A new process whose own calls to discovery are not answered would otherwise send requests to endpoints that this
+// one knows to be draining.
 func (d *daemon) shareEndpointList() {
-	if !d.hotRestart.otherProcess || !d.endpoints.received {
+	if !d.hotRestart.otherProcess || d.endpoints.Source() == membership.Configured {
 		return
 	}
-	if encoded, err := json.Marshal(d.endpoints.complete()); err == nil {
+	if encoded, err := json.Marshal(d.endpoints.Snapshot()); err == nil {
 		d.hotRestart.shared.ShareEndpointList(encoded)
 	}
 }
 
-// EndpointListShared implements hotrestart.Listener. It doesn't replace a list that this process has from discovery.
+// EndpointListShared implements hotrestart.Listener.
 func (d *daemon) EndpointListShared(encoded []byte) {
-	if d.endpoints.received {
-		return
-	}
-	var list config.EndpointList
-	if json.Unmarshal(encoded, &list) != nil || len(list.Endpoints) == 0 {
-		return
+	var list membership.Snapshot
+	if json.Unmarshal(encoded, &list) == nil {
+		d.offerEndpointList(list, membership.Shared)
 	}
-	d.log.Info("endpoint list received from another process")
-	d.applyEndpointList(list, balance.ListCached)
 }
 
 // AloneChanged implements hotrestart.Listener. The platform counts the memory and descriptors of both processes
--- a/cmd/limeladder/store.go
+++ b/cmd/limeladder/store.go
@@ -82,13 +82,14 @@
 	d.useStore(result.store)
 }
 
-// useStore starts to use an opened store, and writes the settings of the deploy file to it.
+// useStore starts to use an opened store, and writes the settings of the deploy file and the endpoint list to it.
 func (d *daemon) useStore(opened *store.Store) {
 	d.store = opened
 	if torn := opened.TornBytes(); torn > 0 {
 		d.recording.note("store", fmt.Sprintf("%d bytes of torn data were dropped", torn))
 	}
 	d.storeValue(configKeyPrefix+d.name, d.deploy)
+	d.storeEndpointList()
 }
 
 // closeStore closes the store, including one that is still being opened: otherwise that would keep its log open and its
--- a/internal/testserver/discovery_agent.go
+++ b/internal/testserver/discovery_agent.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,6 +21,9 @@
 	silentRecheck = time.Hour
 )
 
+// noWatch is the index before the first watch.
+const noWatch = -1
+
 // Agent is a fake of the local agent to which discovery pushes endpoint lists and which a router polls on its own
 // machine. It answers a poll immediately with the entries that it holds, and a watch as soon as it has a newer version.
 type Agent struct {
@@ -35,6 +39,7 @@
 	failStatus   int           // HTTP status of every response, 0 = calls are answered normally
 	answerAtOnce bool          // watches are answered without waiting for a newer version
 	calls        int
+	lastIndex    int64                           // index of the newest watch, noWatch = none was received
 	stateSentAt  map[string]map[string]time.Time // by endpoint and state: when it was last pushed
 }
 
@@ -42,6 +47,7 @@
 func NewAgent(entries ...config.EndpointEntry) (*Agent, error) {
 	a := &Agent{
 		Addr:        "127.0.0.1:0",
+		lastIndex:   noWatch,
 		changedAt:   map[string]int64{},
 		changed:     make(chan struct{}),
 		stateSentAt: map[string]map[string]time.Time{},
@@ -130,6 +136,22 @@
 	return a.calls
 }
 
+// LastIndex returns the version that the newest watch named, or -1 if there was none since the last call.
+func (a *Agent) LastIndex() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	index := a.lastIndex
+	a.lastIndex = noWatch
+	return index
+}
+
+// List returns the complete list that the agent holds.
+func (a *Agent) List() config.EndpointList {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return config.EndpointList{Version: a.version, Full: true, Endpoints: slices.Clone(a.entries)}
+}
+
 // SentAt returns when an endpoint was last pushed with the given state, or the zero time if it never was.
 func (a *Agent) SentAt(id, state string) time.Time {
 	a.mu.Lock()
@@ -161,6 +183,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.calls++
+	if poll.watch {
+		a.lastIndex = poll.index
+	}
 	if !a.blockUntilDue(r.Context(), poll) {
 		return
 	}
