A restarted router knows its newest list from its start on, without a majority too

With the majority of the store away and discovery down, a router that is restarted refuses every request, or goes by the list of its first start; a drain that it heard without a majority is forgotten.

Cause: a restarted process knew what its store's state had, from the first failed call to discovery on. raft applies its log only once a leader has said what is committed, and a change that is heard without a majority reaches no disk at all.

Stored forms are as they were.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -32,6 +32,7 @@
 	listeners      listeners
 	endpoints      *membership.View
 	listWriter     endpointListWriter
+	listSaver      *endpointListSaver // nil if the store is off
 	knownEndpoints knownEndpoints
 	hotRestart     hotRestart
 	shutdown       shutdownState
@@ -64,6 +65,8 @@
 	if err != nil {
 		return nil, err
 	}
+	d.listSaver = newEndpointListSaver(deploy.Store, maxSavedListBytes(d.limits), log)
+	savedList := d.listSaver.load()
 	if err := d.startStore(); err != nil {
 		return nil, err
 	}
@@ -78,7 +81,7 @@
 	}
 	d.loop.Post(func() {
 		d.applySharedState(previous)
-		d.startDiscovery(cfg)
+		d.startDiscovery(cfg, savedList)
 		d.reportCounters()
 	})
 	d.watchOtherProcess()
@@ -104,6 +107,7 @@
 	counts := d.core.Counts()
 	d.log.Info("stopped serving", counterAttributes(counts)...)
 	d.recording.close(counts)
+	d.listSaver.close()
 	d.closeStore()
 	d.engine.Stop()
 	d.hotRestart.shared.Close()
--- a/cmd/limeladder/endpoint_list.go
+++ b/cmd/limeladder/endpoint_list.go
@@ -42,15 +42,17 @@
 	}
 }
 
-// startDiscovery applies the endpoint list of the configuration, which may be outdated, and starts to follow discovery.
-// Clients are accepted once discovery has answered or the timeout for the first list has expired, or at once if the
-// watch resumes from the list in hand.
-func (d *daemon) startDiscovery(cfg *config.Config) {
+// startDiscovery applies the newest of the lists that this process has at its start, which may be outdated, and starts
+// to follow discovery. Clients are accepted once discovery has answered or the timeout for the first list has expired,
+// or at once if the watch resumes from the list in hand.
+func (d *daemon) startDiscovery(cfg *config.Config, saved membership.Snapshot) {
 	configured := membership.Snapshot{}
 	if cfg.KnownEndpoints != nil {
 		configured.EndpointList = *cfg.KnownEndpoints
 	}
 	d.replaceEndpointList(configured, membership.Configured)
+	d.offerEndpointList(saved, membership.Saved)
+	d.offerEndpointList(d.recoveredEndpointList(), membership.Stored)
 	d.restoreFailoverTerms()
 	readyWithin := d.limits.Discovery.FirstListTimeout
 	if d.limits.Discovery.ResumeFromKnown && d.endpoints.Len() > 0 {
@@ -73,6 +75,7 @@
 	d.endpointListChanged(event, kind)
 	if event.Full || len(event.Endpoints) > 0 || firstAnswer {
 		d.shareEndpointList()
+		d.saveEndpointList()
 		d.storeEndpointList()
 	}
 	d.becomeReady()
@@ -107,11 +110,19 @@
 func (d *daemon) replaceEndpointList(list membership.Snapshot, source membership.Source) {
 	d.endpoints.Replace(list, source)
 	d.endpointListChanged(list.EndpointList, balance.ListCached)
+	d.saveEndpointList()
 	if d.limits.Discovery.ResumeFromKnown && len(list.Endpoints) > 0 {
 		d.watcher.ResumeFrom(list.Version)
 	}
 }
 
+// saveEndpointList saves the list in hand on this machine's disk if this process is the one that has the store open.
+func (d *daemon) saveEndpointList() {
+	if d.store != nil && d.endpoints.Len() > 0 {
+		d.listSaver.save(d.endpoints.Snapshot())
+	}
+}
+
 // endpointListChanged passes a watch event or a cached list to every subsystem that depends on the endpoint list.
 func (d *daemon) endpointListChanged(event config.EndpointList, kind balance.EndpointListKind) {
 	d.pool.UpdateEndpoints(event)
--- a/cmd/limeladder/store.go
+++ b/cmd/limeladder/store.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 
+	"limeladder/internal/membership"
 	"limeladder/internal/store"
 )
 
@@ -47,6 +48,7 @@
 		QueuedWrites: d.limits.Store.QueuedWrites,
 		TLS:          store.TLSFiles{CA: settings.CA, Cert: settings.Cert, Key: settings.Key},
 		Purge:        holdsSecret,
+		Recover:      func(key string) bool { return key == endpointListKey },
 	}
 }
 
@@ -82,7 +84,8 @@
 	d.useStore(result.store)
 }
 
-// useStore starts to use an opened store, and writes the settings of the deploy file and the endpoint list to it.
+// useStore starts to use an opened store, and writes the settings of the deploy file and the endpoint list to it. From
+// now on this process saves the list on its disk too: before, another process of this router may do so.
 func (d *daemon) useStore(opened *store.Store) {
 	d.store = opened
 	if torn := opened.TornBytes(); torn > 0 {
@@ -90,6 +93,7 @@
 	}
 	d.storeValue(configKeyPrefix+d.name, d.deploy)
 	d.storeEndpointList()
+	d.saveEndpointList()
 }
 
 // closeStore closes the store, including one that is still being opened: otherwise that would keep its log open and its
@@ -119,6 +123,19 @@
 	}
 }
 
+// recoveredEndpointList returns the list that was stored on this machine's disk when the store was opened. It is empty
+// if there is none, or the store is not open.
+func (d *daemon) recoveredEndpointList() (list membership.Snapshot) {
+	if d.store == nil {
+		return list
+	}
+	encoded, found := d.store.Recovered(endpointListKey)
+	if found && json.Unmarshal(encoded, &list) != nil {
+		return membership.Snapshot{}
+	}
+	return list
+}
+
 // loadValue reads a value from the store. ok is false if the store is off, has no such value, or the value can't be
 // decoded.
 func (d *daemon) loadValue(key string, value any) (ok bool) {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -16,6 +16,7 @@
 // The sources of a list.
 const (
 	Configured Source = iota // the configuration that this process was started with; may be outdated
+	Saved                    // this machine's disk, where an earlier process of this router has left it
 	Stored                   // the replicated store
 	Shared                   // the other process of a hot restart
 	Received                 // discovery
@@ -23,7 +24,7 @@
 
 // String returns the source for logs.
 func (s Source) String() string {
-	return []string{"configuration", "store", "other process", "discovery"}[s]
+	return []string{"configuration", "disk", "store", "other process", "discovery"}[s]
 }
 
 // View is the endpoint list that this process goes by.
