A new process of a hot restart knows the list of the old one before it takes clients

What callers saw: at a hot restart while discovery is down, the new process sends half of the reads to an endpoint that the router was told drains; in fleets of more than four routers at each restart, in others where the old process had its list from its configuration or from the process before it.

Cause: a large fleet's process is ready at once, and the old one, ended then, looks for a successor only every 100 ms; only lists from discovery were told; and a process that starts before its predecessor has noticed that it is alone looked at no list in the folder.

Change: while another process serves, a process is ready once it has that one's list or discovery's, or after the second that others wait. Every list is told; the comparison of lists is the receiver's. One that starts alone counts the list in the folder, which is removed once a process has noticed that it is alone. Part of startDiscovery and the shared list's decoding moved into functions.

--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -81,7 +81,7 @@
 	}
 	d.loop.Post(func() {
 		d.applySharedState(previous)
-		d.startDiscovery(cfg, savedList)
+		d.startDiscovery(cfg, savedList, decodeSharedList(previous.EndpointList))
 		d.reportCounters()
 	})
 	d.watchOtherProcess()
--- a/cmd/limeladder/endpoint_list.go
+++ b/cmd/limeladder/endpoint_list.go
@@ -44,18 +44,19 @@
 
 // startDiscovery applies the newest of the lists that this process has at its start, which may be outdated, and starts
 // to follow discovery. Clients are accepted once discovery has answered or the timeout for the first list has expired,
-// or at once if the watch resumes from the list in hand.
-func (d *daemon) startDiscovery(cfg *config.Config, saved membership.Snapshot) {
+// or at once if the watch resumes from the list in hand and there is no other process whose list may be newer.
+func (d *daemon) startDiscovery(cfg *config.Config, saved, shared membership.Snapshot) {
 	configured := membership.Snapshot{}
 	if cfg.KnownEndpoints != nil {
 		configured.EndpointList = *cfg.KnownEndpoints
 	}
 	d.replaceEndpointList(configured, membership.Configured)
 	d.offerEndpointList(saved, membership.Saved)
+	d.offerEndpointList(shared, membership.Shared)
 	d.offerEndpointList(d.recoveredEndpointList(), membership.Stored)
 	d.restoreFailoverTerms()
 	readyWithin := d.limits.Discovery.FirstListTimeout
-	if d.limits.Discovery.ResumeFromKnown && d.endpoints.Len() > 0 {
+	if d.limits.Discovery.ResumeFromKnown && d.endpoints.Len() > 0 && !d.hotRestart.otherProcess {
 		readyWithin = 0
 	}
 	if !cfg.Balance.PollDiscovery { // otherwise the decision module decides when to poll
@@ -100,7 +101,11 @@
 	if !d.endpoints.Accepts(list) {
 		return
 	}
-	d.log.Info("newer endpoint list found", "source", source.String(), "version", list.Version)
+	if source == membership.Shared {
+		d.log.Info("endpoint list received from another process", "version", list.Version)
+	} else {
+		d.log.Info("endpoint list restored", "source", source.String(), "version", list.Version)
+	}
 	d.replaceEndpointList(list, source)
 	d.shareEndpointList()
 }
--- a/cmd/limeladder/hot_restart.go
+++ b/cmd/limeladder/hot_restart.go
@@ -69,11 +69,11 @@
 	d.knownEndpoints.add(ids, d.limits.Discovery.KnownEndpoints)
 }
 
-// shareEndpointList passes the list that this process goes by to the other process, unless it is only the configured
-// one. A new process whose own calls to discovery are not answered would otherwise send requests to endpoints that this
-// one knows to be draining.
+// shareEndpointList passes the list that this process goes by to the other process, wherever it came from. A new
+// process whose own calls to discovery are not answered would otherwise send requests to endpoints that this one knows
+// to be draining.
 func (d *daemon) shareEndpointList() {
-	if !d.hotRestart.otherProcess || d.endpoints.Source() == membership.Configured {
+	if !d.hotRestart.otherProcess || d.endpoints.Len() == 0 {
 		return
 	}
 	if encoded, err := json.Marshal(d.endpoints.Snapshot()); err == nil {
@@ -81,12 +81,22 @@
 	}
 }
 
-// EndpointListShared implements hotrestart.Listener.
+// EndpointListShared implements hotrestart.Listener. Where this process need not wait for discovery, it has waited for
+// this list to become ready.
 func (d *daemon) EndpointListShared(encoded []byte) {
+	d.offerEndpointList(decodeSharedList(encoded), membership.Shared)
+	if d.limits.Discovery.ResumeFromKnown {
+		d.becomeReady()
+	}
+}
+
+// decodeSharedList decodes a list that a process has shared. It returns an empty list if that is not possible.
+func decodeSharedList(encoded []byte) membership.Snapshot {
 	var list membership.Snapshot
-	if json.Unmarshal(encoded, &list) == nil {
-		d.offerEndpointList(list, membership.Shared)
+	if json.Unmarshal(encoded, &list) != nil {
+		return membership.Snapshot{}
 	}
+	return list
 }
 
 // AloneChanged implements hotrestart.Listener. The platform counts the memory and descriptors of both processes
--- a/cmd/limeladder/restart_matrix_test.go
+++ b/cmd/limeladder/restart_matrix_test.go
@@ -153,6 +153,29 @@
 	}
 }
 
+// Guards against a hot restart in which the new process takes clients before the old one has told it the list that the
+// router goes by, and in which the old one ends without telling it. No store keeps the list here.
+func TestNewProcessKnowsTheListOfTheOldOneBeforeItTakesClients(t *testing.T) {
+	for _, f := range fleets() {
+		for _, arrival := range listArrivals() {
+			if arrival.name == "store" {
+				continue
+			}
+			t.Run(f.name+"/"+arrival.name, func(t *testing.T) {
+				t.Parallel()
+				router := newFollowingRouter(t, f)
+				router.writeFile("deploy.toml", "")
+				start := router.useInheritedSocket()
+				outdated := arrival.learn(router, start)
+				router.configure(outdated)
+				router.replaceProcess(start)
+				router.requireUnused(1, notifiedWithin/4)
+				router.requireFollows(router.agent.List().Version)
+			})
+		}
+	}
+}
+
 // Guards against a router that forgets a drain when its process begins again while discovery is down and its
 // configuration has an older list: in whatever way the drain was learned, the process goes by the newest list from its
 // start on, and its watch resumes from that list once discovery is back.
--- a/internal/hotrestart/shared_state.go
+++ b/internal/hotrestart/shared_state.go
@@ -18,7 +18,7 @@
 	Suspended      map[string]bool // set of the ids of suspended endpoints
 	Drained        bool
 	KnownEndpoints []string // ids of all endpoints that were ever listed, oldest first
-	EndpointList   []byte   // last list from discovery that one process shared with another; may be outdated
+	EndpointList   []byte   // last list that one process shared with another
 }
 
 // SharedState is the state that two processes of one router share through a folder.
@@ -81,12 +81,24 @@
 // serving process writes its own list once it knows of this process, or finds none. Whatever is in the file from now on
 // is reported to the Listener, even if it equals the list that was removed.
 func (s *SharedState) requestEndpointList() {
-	if err := s.folder.remove(endpointListFile); err != nil {
+	removed := s.removeEndpointList()
+	s.read()
+	if removed {
+		s.forgetEndpointList()
+	}
+}
+
+// removeEndpointList removes the shared endpoint list and reports whether there is none now.
+func (s *SharedState) removeEndpointList() bool {
+	err := s.folder.remove(endpointListFile)
+	if err != nil {
 		s.log.Warn("shared state not written", "file", endpointListFile, "error", err)
-		s.read()
-		return
 	}
-	s.read()
+	return err == nil
+}
+
+// forgetEndpointList makes the next list in the folder count as changed, whatever it is.
+func (s *SharedState) forgetEndpointList() {
 	s.lastState.EndpointList = nil
 	s.folder.endpointListInfo = nil
 }
--- a/internal/hotrestart/shared_state_test.go
+++ b/internal/hotrestart/shared_state_test.go
@@ -268,6 +268,29 @@
 	}()
 }
 
+// Guards against an outdated list that a later process finds: nobody keeps the shared list up to date while there is
+// only one process. Until that process has noticed that it is alone, a process that starts finds the list.
+func TestEndpointListIsRemovedOnceAProcessIsAlone(t *testing.T) {
+	root := t.TempDir()
+	serving, _, notified := openProcess(t, root)
+	notified.shareOnRequest(t, serving, "current")
+	successor, _, notifiedSuccessor := openProcess(t, root)
+	notifiedSuccessor.wait(t, "endpoint list")
+	listFile := filepath.Join(folderPath(root, testAddress), endpointListFile)
+	if _, err := os.Stat(listFile); err != nil {
+		t.Errorf("while there are two processes: %v", err)
+	}
+	serving.Close()
+	notifiedSuccessor.wait(t, "alone")
+	if _, err := os.Stat(listFile); !os.IsNotExist(err) {
+		t.Errorf("the list is still there once the successor is alone: %v", err)
+	}
+	successor.Close()
+	if _, state, _ := openProcess(t, root); len(state.EndpointList) > 0 {
+		t.Errorf("the next process starts with the list %q", state.EndpointList)
+	}
+}
+
 // A successor gets the endpoint list of the serving process although an earlier successor has died and left the same
 // list in the folder, and whether or not the serving process has noticed that.
 func TestLaterSuccessorGetsTheSameEndpointList(t *testing.T) {
--- a/internal/hotrestart/watcher.go
+++ b/internal/hotrestart/watcher.go
@@ -74,6 +74,9 @@
 	if alone != s.alone {
 		s.alone = alone
 		s.ownList = nil
+		if alone && s.removeEndpointList() {
+			s.forgetEndpointList() // nobody keeps the list up to date from now on
+		}
 		notify(func(l Listener) { l.AloneChanged(alone) })
 	}
 }
