Bytes that are dropped on a connection being closed make no garbage

What could be seen: TestBadClients/unsound on x86-64, where it had not run before: 300 clients that send rubbish and connect anew take a router of 32 MB to 42 MB.

Cause: a connection closed in order is read until its peer ends it. Each delivery threw the inbox away and the next read made a new one, as fast as the peer sends; the collector's worker waited up to 16 ms for a time slice of the only processor.

Evidence: heap profile, 2.06 of 2.13 GB allocated in Conn.receive; gctrace, single cycles of 13 to 16 ms in which the heap grows from 9 to 33 and 41 MB.

Change: the inbox of such a connection is emptied in place.

--- a/internal/transport/finish_test.go
+++ b/internal/transport/finish_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -197,3 +198,30 @@
 		t.Fatal("the released descriptor was used")
 	}
 }
+
+// Guards against a peer that makes garbage as fast as it sends on a connection that is being closed: its bytes are read
+// and dropped, and the garbage collector did not keep up.
+func TestBytesDroppedWhileClosingMakeNoGarbage(t *testing.T) {
+	const sent, mostAllocated = 64 << 20, 8 << 20
+	l, e := newTestEngine(t)
+	conn, peer := newPair(t, e, &collector{want: 1 << 40, done: make(chan string, 9)})
+	runInLoop(l, func() { conn.CloseGracefully(time.Minute) })
+	piece := make([]byte, 64<<10)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	written := 0
+	for written < sent {
+		n, err := peer.Write(piece)
+		written += n
+		if err != nil {
+			break // it has lingered for long enough
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if written < sent/4 {
+		t.Fatalf("the connection took %d bytes, want at least a quarter of %d", written, sent)
+	}
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > mostAllocated {
+		t.Errorf("%d bytes were allocated for %d that were dropped, want at most %d", allocated, written, mostAllocated)
+	}
+}
--- a/internal/transport/inbox.go
+++ b/internal/transport/inbox.go
@@ -33,6 +33,13 @@
 	return data
 }
 
+// emptyInbox drops the bytes in the inbox and keeps its memory for those that come next. A peer that goes on sending on
+// a connection that is being closed would otherwise make garbage as fast as it sends. The caller holds c.mutex.
+func (c *Conn) emptyInbox() {
+	c.engine.inboxes.usedBytes.Add(-int64(len(c.inbox)))
+	c.inbox = c.inbox[:0]
+}
+
 // dropInbox drops received bytes that will not be processed.
 func (c *Conn) dropInbox() {
 	c.mutex.Lock()
--- a/internal/transport/read.go
+++ b/internal/transport/read.go
@@ -94,14 +94,18 @@
 		c.mutex.Unlock()
 		return
 	}
-	p := c.takeInbox()
+	dropped := c.reportCloseAtOnce.Load() && c.ended.Load()
+	var p []byte
+	if c.closed || dropped {
+		c.emptyInbox()
+	} else {
+		p = c.takeInbox()
+	}
 	full := c.inboxFull
 	c.dataPosted = false
 	c.inboxFull = false
 	c.mutex.Unlock()
-	dropped := c.reportCloseAtOnce.Load() && c.ended.Load()
-	wanted := !c.closed && !dropped
-	if wanted && len(p) > 0 {
+	if len(p) > 0 {
 		c.handler.Data(p)
 	}
 	if full && (!c.closed || c.gracefulClose.active) {
