Open units of work are answered before the process ends, however short the deadlines are

What callers saw: an Execute sent 0.4 s after SIGTERM, its Sync 1 s later, meets the end of the connection and no answer.

Where no class waits longer than 3 s, the process ends at that deadline: with client timeouts of 0.3 and 0.8 s before the Sync comes, and with 3 s where it never comes.

Change: the daemon ends open units at the deadline and once more right before it stops, and then waits for what is on its way out.

A connection that has been used and is idle at SIGTERM is closed at once, as before: an Execute sent on it afterwards is not read and meets the end.

--- a/cmd/limeladder/shutdown.go
+++ b/cmd/limeladder/shutdown.go
@@ -29,12 +29,21 @@
 	if d.listeners.inheritedSocket {
 		acceptTime = 0 // the next process has the same socket and accepts all further connections
 	}
+	d.loop.AfterFunc(d.limits.Shutdown.GuaranteedTime, d.endOpenUnits)
 	d.loop.AfterFunc(acceptTime, func() { d.closeListeners(func() { d.finishConnections(deadline) }) })
 	d.loop.AfterFunc(d.limits.Shutdown.MaxTime, func() {
+		d.endOpenUnits() // the process may end in the next moment
 		d.stopWhenDelivered(d.loop.Now() + d.limits.Shutdown.DeliveryTime)
 	})
 }
 
+// endOpenUnits ends the units of work that are still open with an error.
+func (d *daemon) endOpenUnits() {
+	for _, listener := range d.listeners.open {
+		listener.EndOpenUnits()
+	}
+}
+
 // stopWhenDelivered stops the loop, at the latest at the given time. Before, it waits for responses that are still
 // being delivered: an endpoint may be slow to write a long one, or a client to read it, and no deadline applies to a
 // response that has begun. All other requests have been answered by now.
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -43,16 +43,20 @@
 	}
 }
 
-// SetShutdownDeadline sets the time at which units of work that are still open are ended with an error: the process is
-// about to exit, and would drop them without an answer.
+// SetShutdownDeadline sets the time from which on units of work that are opened late are ended with an error: the
+// process is about to exit, and would drop them without an answer.
 func (f *Frontend) SetShutdownDeadline(at time.Duration) { f.drain.unitsEndAt = at }
 
-// endOpenUnits ends the units of work that are open at the shutdown deadline. Nothing of them has run: a request of a
-// unit that is in flight is answered by the router at the same time.
-func (f *Frontend) endOpenUnits(now time.Duration) {
-	if f.drain.unitsEndAt == 0 || now < f.drain.unitsEndAt {
-		return
+// endLateUnits ends the units of work that are open after the shutdown deadline.
+func (f *Frontend) endLateUnits(now time.Duration) {
+	if f.drain.unitsEndAt > 0 && now >= f.drain.unitsEndAt {
+		f.EndOpenUnits()
 	}
+}
+
+// EndOpenUnits ends the units of work that are open with an error. Nothing of them has run: a request of a unit that is
+// in flight is answered by the router before its connection ends.
+func (f *Frontend) EndOpenUnits() {
 	for c := range f.connections {
 		if !c.owesResponse() && !c.handler.Idle() {
 			c.closeWithError(errShuttingDown)
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -14,7 +14,7 @@
 	inputWaits := f.resumeInput()
 	f.memory.refusedBytes = 0
 	f.closeDrained(now)
-	f.endOpenUnits(now)
+	f.endLateUnits(now)
 	if f.drain.closesIdle {
 		f.closeIdle()
 	}
