A member of the store is ready once its state has all committed changes

Cause: raft's AppliedIndex counts entries that were passed to the goroutine that applies them and wait in its queue.

Evidence: TestMemberIsReadyOnceItsStateHasAllChanges holds that goroutine up. Without the change: "the member is ready, and its state lacks a committed change".

Ready compares it with the last change in the log up to the commit index.

--- a/internal/store/state_machine.go
+++ b/internal/store/state_machine.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/raft"
 
@@ -17,6 +18,9 @@
 type stateMachine struct {
 	mu    sync.RWMutex
 	state *fsm.State
+
+	applied  atomic.Uint64 // index of the last log entry whose change is in the state
+	restores atomic.Uint64 // index of the last entry in the snapshot that was opened last
 }
 
 func (m *stateMachine) rollback(key string, revision uint64) (fsm.Change, error) {
@@ -29,10 +33,12 @@
 func (m *stateMachine) Apply(entry *raft.Log) any {
 	change, err := fsm.Decode(entry.Data)
 	if err != nil {
+		m.applied.Store(entry.Index)
 		return err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.applied.Store(entry.Index)
 	return m.state.Apply(change)
 }
 
@@ -58,9 +64,26 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = restored
+	m.applied.Store(m.restores.Load())
 	return nil
 }
 
+// openedSnapshots is the snapshot store that raft uses. It tells the state machine which entries a snapshot contains
+// that raft restores next.
+type openedSnapshots struct {
+	*raft.FileSnapshotStore
+	machine *stateMachine
+}
+
+// Open implements raft.SnapshotStore.
+func (s openedSnapshots) Open(id string) (*raft.SnapshotMeta, io.ReadCloser, error) {
+	meta, source, err := s.FileSnapshotStore.Open(id)
+	if err == nil {
+		s.machine.restores.Store(meta.Index)
+	}
+	return meta, source, err
+}
+
 // snapshot is an encoded state. Raft writes it while further changes are applied.
 type snapshot []byte
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -143,7 +143,8 @@
 		return err
 	}
 	s.stable = newStableStore(s.wal, s.log)
-	s.raft, err = raft.NewRaft(s.raftConfig(), s.machine, s.wal, s.stable, s.snapshots, transport)
+	snapshots := openedSnapshots{FileSnapshotStore: s.snapshots, machine: s.machine}
+	s.raft, err = raft.NewRaft(s.raftConfig(), s.machine, s.wal, s.stable, snapshots, transport)
 	if err != nil {
 		_ = s.stream.Close() // the caller needs the error of the failed start
 		return err
@@ -204,10 +205,16 @@
 
 // Ready reports whether this member knows a leader and has applied all entries that it knows to be committed. Get then
 // returns values no older than the start of this member.
+//
+// raft counts an entry as applied once it has passed it to the goroutine that applies it, so the state machine is asked
+// too.
 func (s *Store) Ready() bool {
 	_, leader := s.raft.LeaderWithID()
 	commit := s.raft.CommitIndex()
-	return leader != "" && commit > 0 && s.raft.AppliedIndex() >= commit
+	if leader == "" || commit == 0 || s.raft.AppliedIndex() < commit {
+		return false
+	}
+	return s.machine.applied.Load() >= s.wal.lastChange(commit)
 }
 
 // IsLeader reports whether this member is the leader.
--- a/internal/store/wal.go
+++ b/internal/store/wal.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// lastChange returns the index of the last entry up to the given one that is passed to the state machine. It returns 0
+// if the log has none: a snapshot contains them all.
+func (w *wal) lastChange(upTo uint64) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for index := min(upTo, w.lastIndex); index > 0 && index >= w.firstIndex; index-- {
+		if entry := w.entries[index]; entry != nil && entry.Type == raft.LogCommand {
+			return index
+		}
+	}
+	return 0
+}
+
 // dataBytes returns the total length of the data of the entries, which are kept in memory.
 func (w *wal) dataBytes() int64 {
 	w.mu.Lock()
