A large fleet that moves to a discovery with lower versions learns its list in time

What callers saw: after SIGHUP to a discovery whose versions begin anew, routers of large fleets send reads to an endpoint that drains there for up to 6.2 s, with a grace of 0.5 s; changes count as notified 4 s after SIGHUP.

Cause: the watch resumes from the version that the router knows. The new discovery has nothing newer and responds only when the wait of 5 s is over, and the response is discarded as outdated, as is the next.

Change: watches at an address that has not sent a list yet wait for 3 s at most, and after a move the first complete list is used whatever its version, as in small fleets. A discovery already followed has to repeat an older list twice, as before.

TestMoveResumesFromKnownVersion expected the full wait at the new address. It expects the shorter one there now, and the full one, which it did not look at before, once that address has sent a list.

--- a/cmd/limeladder/restart_matrix_test.go
+++ b/cmd/limeladder/restart_matrix_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"syscall"
 	"testing"
+	"time"
 
 	"limeladder/internal/config"
 	"limeladder/internal/store"
@@ -109,17 +110,24 @@
 	r.configure(outdated)
 	r.cmd = start()
 	r.sendReads(drainGrace)
+	r.moveToNewNumbering(outdated)
+	r.waitUntilUnused(1, notifiedWithin)
+	r.agent.FailWith(http.StatusServiceUnavailable)
+	return outdated
+}
+
+// moveToNewNumbering moves the router with SIGHUP to another discovery, whose versions are lower and whose list has
+// server a draining. The new configuration contains the list known.
+func (r *followingRouter) moveToNewNumbering(known config.EndpointList) {
+	r.test.Helper()
 	next, err := testserver.NewAgent(r.list[0], draining(r.list[1]), r.list[2])
 	if err != nil {
 		r.test.Fatal(err)
 	}
 	r.test.Cleanup(next.Stop)
 	r.agent = next
-	r.configure(outdated)
+	r.configure(known)
 	signalProcess(r.test, r.cmd, syscall.SIGHUP)
-	r.waitUntilUnused(1, notifiedWithin)
-	r.agent.FailWith(http.StatusServiceUnavailable)
-	return outdated
 }
 
 // replaceProcess starts another process with start and ends the old one as in a hot restart.
@@ -197,3 +205,27 @@
 		}
 	}
 }
+
+// Guards against a router of a large fleet that learns too late what a new configuration's discovery says, because the
+// versions there are lower: such a discovery responds to the watch only when its wait is over, and the router discarded
+// two lists before it used one. After SIGHUP, changes count as notified 4 s later.
+func TestMoveToDiscoveryWithLowerVersionsIsNotifiedInTime(t *testing.T) {
+	const notifiedAfterReload = 4 * time.Second
+	for _, instances := range []int{3, 6, 12, 300} {
+		t.Run(fmt.Sprint(instances, " routers"), func(t *testing.T) {
+			t.Parallel()
+			router := newFollowingRouter(t, fleet{"", instances, false})
+			router.writeFile("deploy.toml", "")
+			for range 4 {
+				router.agent.Push(router.list[0])
+			}
+			known := router.agent.List()
+			router.configure(known)
+			router.start()
+			router.sendReads(drainGrace)
+			router.moveToNewNumbering(known)
+			router.sendReads(notifiedAfterReload)
+			router.requireUnused(1, time.Second)
+		})
+	}
+}
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -56,7 +56,7 @@
 	// the capacity of discovery.
 	if !w.snapshotDue {
 		next.kind = CallWatch
-		next.longPollTimeout = bounds.LongPollTimeout
+		next.longPollTimeout = w.longPollTimeout()
 		path = fmt.Sprintf("%s?index=%d&wait=%d", endpointsPath, w.version, next.longPollTimeout.Milliseconds())
 	}
 	// A watch on a broken link receives nothing, just as a watch on a list that doesn't change. Only the deadline
@@ -77,6 +77,19 @@
 	w.dial()
 }
 
+// firstWatchTimeout bounds the wait of a watch at an address that has not sent a list yet. If the versions there are
+// lower than the one that the watch names, discovery responds only when the wait is over, but changes count as notified
+// 4 s after a move.
+const firstWatchTimeout = 3 * time.Second
+
+// longPollTimeout returns how long the next watch asks discovery to wait for a change.
+func (w *Watcher) longPollTimeout() time.Duration {
+	if w.answered {
+		return w.limits.Discovery.LongPollTimeout
+	}
+	return min(w.limits.Discovery.LongPollTimeout, firstWatchTimeout)
+}
+
 // abandonCall ends the call in flight, if any, and closes its connection. Later events of that connection are ignored.
 func (w *Watcher) abandonCall() {
 	w.dialNumber++
--- a/internal/discovery/endpoint_list.go
+++ b/internal/discovery/endpoint_list.go
@@ -69,6 +69,7 @@
 // acceptEndpoints reports a valid list to the listener and makes the next call.
 func (w *Watcher) acceptEndpoints(list config.EndpointList) {
 	w.version = list.Version
+	w.answered = true
 	w.snapshotDue = false
 	w.outdatedAnswers = 0
 	w.invalidAnswers = 0
--- a/internal/discovery/previous.go
+++ b/internal/discovery/previous.go
@@ -16,6 +16,7 @@
 		log:        w.log,
 		address:    w.address,
 		version:    w.version,
+		answered:   w.answered,
 		call:       w.call,
 		connection: w.connection,
 		handler:    w.handler,
--- a/internal/discovery/previous_test.go
+++ b/internal/discovery/previous_test.go
@@ -73,8 +73,9 @@
 	watch.nextList(t)
 	await(t, "the old discovery is watched", oldWatched)
 	watch.runInLoop(func() { watch.watcher.MoveTo(next) })
-	if query := await(t, "the new discovery is called", newCalls); query != "index=5&wait=20000" {
-		t.Errorf("the first call has the query %q, want index=5&wait=20000", query)
+	// Until the new discovery has sent a list, the calls have the wait of a first watch.
+	if query := await(t, "the new discovery is called", newCalls); query != "index=5&wait=3000" {
+		t.Errorf("the first call has the query %q, want index=5&wait=3000", query)
 	}
 	newEvents <- 0 // the new discovery rejects the call
 	if watch.nextFailure(t) {
@@ -86,13 +87,16 @@
 	}
 	await(t, "the old discovery is watched again", oldWatched)
 	watch.poll()
-	if query := await(t, "the new discovery is called again", newCalls); query != "index=6&wait=20000" {
-		t.Errorf("the second call has the query %q, want index=6&wait=20000", query)
+	if query := await(t, "the new discovery is called again", newCalls); query != "index=6&wait=3000" {
+		t.Errorf("the second call has the query %q, want index=6&wait=3000", query)
 	}
 	newEvents <- 7
 	if list := watch.nextList(t); list.Version != 7 {
 		t.Errorf("list %+v, want version 7 from the new discovery", list)
 	}
+	if query := await(t, "the new discovery is watched", newCalls); query != "index=7&wait=20000" {
+		t.Errorf("the third call has the query %q, want index=7&wait=20000", query)
+	}
 	await(t, "the old watch ends", oldEnded)
 	if len(watch.failures) > 0 {
 		t.Error("the end of the old watch was reported as a failure")
@@ -141,3 +145,35 @@
 		t.Error("the end of the old discovery was reported as a failure")
 	}
 }
+
+// Guards against a router of a large fleet that discards the lists of the discovery that it moves to, because their
+// versions are lower than those of the previous one: the first complete list is used.
+func TestMoveAcceptsLowerVersions(t *testing.T) {
+	old := startDiscovery(t, func(w http.ResponseWriter, r *http.Request) {
+		if isWatch(r) {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, listFormat, 5, true, 5)
+	})
+	for _, watchedFull := range []bool{true, false} {
+		t.Run(fmt.Sprint("answer to the watch is complete: ", watchedFull), func(t *testing.T) {
+			next := startDiscovery(t, func(w http.ResponseWriter, r *http.Request) {
+				fmt.Fprintf(w, listFormat, 2, watchedFull || !isWatch(r), 2)
+			})
+			lim := testLimits()
+			lim.Discovery.ResumeFromKnown = true
+			watch := newTestWatch(t, lim, old)
+			watch.poll()
+			watch.nextList(t)
+			watch.runInLoop(func() { watch.watcher.MoveTo(next) })
+			if !watchedFull {
+				watch.nextFailure(t)
+				watch.poll()
+			}
+			if list := watch.nextList(t); list.Version != 2 || !list.Full {
+				t.Errorf("list %+v, want the complete one of version 2", list)
+			}
+		})
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -33,6 +33,7 @@
 
 	version     int64 // of the newest list
 	snapshotDue bool  // the next call requests the full list
+	answered    bool  // the current address has sent a valid list
 
 	call       call
 	connection *transport.Conn    // nil = none is open
@@ -83,6 +84,8 @@
 		w.keepPreviousWatch()
 	}
 	w.address = address
+	w.answered = false
+	w.outdatedAnswers = maxOutdatedAnswers // the versions of another discovery may begin anew
 	if !w.limits.Discovery.ResumeFromKnown {
 		w.snapshotDue = true
 		w.version = 0
