A process saves only the newest of the lists that it has at its start

What callers saw: a router of a large fleet that is killed twice within moments, while discovery is down, sends half of its reads to an endpoint that it knew to be draining before the first kill.

Cause: the list of the configuration was applied and saved before the newer one of the file was. The second kill came between the two writes, so the older list stayed on the disk.

Evidence: TestRestartedProcessKnowsTheNewestList with "SIGKILL twice", new: 3 of 18 cases failed without the change ("the servers received [0 132 124] reads, want none at server 1").

Change: the lists are compared first, and the newest is saved once.

Measured: the 36 cases of SIGKILL and SIGKILL twice pass with it.

--- a/cmd/limeladder/endpoint_list.go
+++ b/cmd/limeladder/endpoint_list.go
@@ -51,9 +51,10 @@
 		configured.EndpointList = *cfg.KnownEndpoints
 	}
 	d.replaceEndpointList(configured, membership.Configured)
-	d.offerEndpointList(saved, membership.Saved)
-	d.offerEndpointList(shared, membership.Shared)
-	d.offerEndpointList(d.recoveredEndpointList(), membership.Stored)
+	d.useNewerEndpointList(saved, membership.Saved)
+	d.useNewerEndpointList(shared, membership.Shared)
+	d.useNewerEndpointList(d.recoveredEndpointList(), membership.Stored)
+	d.saveEndpointList() // only the newest: an older one that is saved first remains if the process is killed now
 	d.restoreFailoverTerms()
 	readyWithin := d.limits.Discovery.FirstListTimeout
 	if d.limits.Discovery.ResumeFromKnown && d.endpoints.Len() > 0 && !d.hotRestart.otherProcess {
@@ -96,10 +97,19 @@
 	}
 }
 
-// offerEndpointList applies a complete list that did not come from discovery, unless the list in hand is as new.
+// offerEndpointList applies and saves a complete list that did not come from discovery, unless the list in hand is as
+// new.
 func (d *daemon) offerEndpointList(list membership.Snapshot, source membership.Source) {
+	if d.useNewerEndpointList(list, source) {
+		d.saveEndpointList()
+	}
+}
+
+// useNewerEndpointList applies a complete list that did not come from discovery, and reports whether it did: not if the
+// list in hand is as new.
+func (d *daemon) useNewerEndpointList(list membership.Snapshot, source membership.Source) bool {
 	if !d.endpoints.Accepts(list) {
-		return
+		return false
 	}
 	if source == membership.Shared {
 		d.log.Info("endpoint list received from another process", "version", list.Version)
@@ -108,6 +118,7 @@
 	}
 	d.replaceEndpointList(list, source)
 	d.shareEndpointList()
+	return true
 }
 
 // replaceEndpointList applies a complete list that did not come from discovery. The watch requests the changes since
@@ -115,7 +126,6 @@
 func (d *daemon) replaceEndpointList(list membership.Snapshot, source membership.Source) {
 	d.endpoints.Replace(list, source)
 	d.endpointListChanged(list.EndpointList, balance.ListCached)
-	d.saveEndpointList()
 	if d.limits.Discovery.ResumeFromKnown && len(list.Endpoints) > 0 {
 		d.watcher.ResumeFrom(list.Version)
 	}
--- a/cmd/limeladder/restart_matrix_test.go
+++ b/cmd/limeladder/restart_matrix_test.go
@@ -157,6 +157,12 @@
 			r.end(syscall.SIGKILL)
 			r.cmd = start()
 		}},
+		{"SIGKILL twice", func(r *followingRouter, start func() *exec.Cmd) {
+			for range 2 {
+				r.end(syscall.SIGKILL)
+				r.cmd = start()
+			}
+		}},
 		{"hot restart", (*followingRouter).replaceProcess},
 	}
 }
