--- a/cmd/limeladder/audit_endpoint_list.go
+++ b/cmd/limeladder/audit_endpoint_list.go
@@ -45,7 +45,7 @@
 // recordListedState records the state of an endpoint if it has changed. A new endpoint that is ready is not recorded.
 func (r *auditRecording) recordListedState(entry config.EndpointEntry) {
 	previous, known := r.endpointStates[entry.ID]
-	newAndReady := !known && entry.State == endpointReady
+	newAndReady := !known && entry.State == config.StateReady
 	if previous != entry.State && !newAndReady {
 		r.recorder.Record(audit.EndpointStateChange{
 			Endpoint: entry.ID,
@@ -54,7 +54,7 @@
 			Source:   requestedByDiscovery,
 		})
 	}
-	if entry.State == endpointRemoved {
+	if entry.State == config.StateRemoved {
 		delete(r.endpointStates, entry.ID)
 	} else {
 		r.endpointStates[entry.ID] = entry.State
@@ -66,9 +66,9 @@
 	summary := audit.List{Version: event.Version, Full: complete}
 	for _, entry := range event.Endpoints {
 		switch entry.State {
-		case endpointReady:
+		case config.StateReady:
 			summary.Ready++
-		case endpointDraining:
+		case config.StateDraining:
 			summary.Draining++
 		default:
 			summary.Gone++
--- a/cmd/limeladder/daemon_test.go
+++ b/cmd/limeladder/daemon_test.go
@@ -96,7 +96,7 @@
 	if isPrimary {
 		mode = "read-write"
 	}
-	return config.EndpointEntry{ID: id, Addr: address, Zone: zone, Group: group, State: endpointReady, Mode: mode}
+	return config.EndpointEntry{ID: id, Addr: address, Zone: zone, Group: group, State: config.StateReady, Mode: mode}
 }
 
 // blockRequest returns a behavior for fake servers that blocks the request with blockedID: they send to arrived once
--- a/cmd/limeladder/endpoint_list.go
+++ b/cmd/limeladder/endpoint_list.go
@@ -8,13 +8,6 @@
 	"limeladder/internal/membership"
 )
 
-// The states in which discovery lists endpoints.
-const (
-	endpointReady    = "ready"
-	endpointDraining = "draining"
-	endpointRemoved  = "gone" // no longer in the list
-)
-
 // knownEndpoints holds the ids of all endpoints that were ever listed, up to a maximum number.
 type knownEndpoints struct {
 	ids   map[string]bool
--- a/cmd/limeladder/failover_scenario_test.go
+++ b/cmd/limeladder/failover_scenario_test.go
@@ -139,7 +139,7 @@
 			if i == 0 {
 				entry.Mode = "read-write"
 			}
-			entry.State = endpointReady
+			entry.State = config.StateReady
 			if state, ok := s.listedStates[server.Addr]; ok {
 				entry.State = state
 			}
@@ -152,7 +152,7 @@
 // drain makes discovery notify the router that a server is draining.
 func (s *failoverScenario) drain(server *testserver.DB) {
 	s.mu.Lock()
-	s.listedStates[server.Addr] = endpointDraining
+	s.listedStates[server.Addr] = config.StateDraining
 	s.version++
 	s.drains = append(s.drains, check.Drain{Member: server.Addr, From: time.Now()})
 	s.mu.Unlock()
--- a/cmd/limeladder/hot_restart_test.go
+++ b/cmd/limeladder/hot_restart_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"limeladder/balance"
+	"limeladder/internal/config"
 	"limeladder/internal/testserver"
 )
 
@@ -117,7 +118,7 @@
 	for _, group := range readers {
 		group.Wait()
 	}
-	requireNothingSentAfterDrain(t, servers[1], agent.SentAt("a", endpointDraining))
+	requireNothingSentAfterDrain(t, servers[1], agent.SentAt("a", config.StateDraining))
 	sentByNewProcess := 0
 	for _, request := range servers[2].Log().Received {
 		if strings.HasPrefix(request.ID, "new") {
--- a/cmd/limeladder/pushed_discovery_test.go
+++ b/cmd/limeladder/pushed_discovery_test.go
@@ -31,7 +31,7 @@
 
 // draining returns an endpoint's entry with the state draining.
 func draining(entry config.EndpointEntry) config.EndpointEntry {
-	entry.State = endpointDraining
+	entry.State = config.StateDraining
 	return entry
 }
 
@@ -68,7 +68,7 @@
 	readers.Wait()
 	before := 0
 	after := 0
-	notifiedAt := agent.SentAt("a", endpointDraining)
+	notifiedAt := agent.SentAt("a", config.StateDraining)
 	for _, request := range servers[1].Log().Received {
 		switch {
 		case request.At.Before(notifiedAt):
@@ -113,6 +113,6 @@
 		group.Wait()
 	}
 	for i, id := range []string{"a", "b"} {
-		requireNothingSentAfterDrain(t, servers[1+i], agent.SentAt(id, endpointDraining))
+		requireNothingSentAfterDrain(t, servers[1+i], agent.SentAt(id, config.StateDraining))
 	}
 }
--- a/internal/backend/endpoint.go
+++ b/internal/backend/endpoint.go
@@ -4,23 +4,18 @@
 	"slices"
 
 	"limeladder/balance"
+	"limeladder/internal/config"
 	"limeladder/internal/pgwire"
 	"limeladder/internal/router"
 )
 
-// The states of an endpoint that affect its connections, as the endpoint list names them.
-const (
-	stateReady   = "ready"
-	stateRemoved = "gone"
-)
-
 // endpoint is one PostgreSQL server, with the connections to it and the attempts that wait for one.
 type endpoint struct {
 	id        string
 	addr      string
 	pool      *Pool
-	state     string
-	suspended bool // by an operator
+	state     string // as the endpoint list names it
+	suspended bool   // by an operator
 
 	// generation counts the calls of drain. A connection that was dialed in an earlier generation carries no further
 	// attempt.
@@ -40,12 +35,12 @@
 
 // isUnused reports whether the endpoint is no longer listed and nothing refers to it any more.
 func (e *endpoint) isUnused() bool {
-	return e.state == stateRemoved && e.open == 0 && len(e.waiting) == 0
+	return e.state == config.StateRemoved && e.open == 0 && len(e.waiting) == 0
 }
 
 // canKeepIdle reports whether the endpoint may have one more idle connection.
 func (e *endpoint) canKeepIdle() bool {
-	if e.pool.closed || e.suspended || e.state != stateReady {
+	if e.pool.closed || e.suspended || e.state != config.StateReady {
 		return false
 	}
 	return len(e.idle) < e.pool.limits.Backend.IdlePerEndpoint
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -50,7 +50,7 @@
 	}
 	for id, e := range p.endpoints {
 		if list.Full && !listed[id] {
-			e.state = stateRemoved
+			e.state = config.StateRemoved
 			e.drain()
 		}
 		if e.isUnused() {
@@ -70,7 +70,7 @@
 		e.drain()
 	}
 	e.state = entry.State
-	if e.state != stateReady {
+	if e.state != config.StateReady {
 		e.drain()
 	}
 }
--- a/internal/config/endpoint_list.go
+++ b/internal/config/endpoint_list.go
@@ -6,6 +6,13 @@
 	"limeladder/balance"
 )
 
+// The states of an endpoint in the format of discovery.
+const (
+	StateReady    = "ready"
+	StateDraining = "draining" // finishes what it has and wants nothing new
+	StateRemoved  = "gone"     // no longer in the list; only changes contain it
+)
+
 // EndpointEntry describes an endpoint in the format of discovery.
 type EndpointEntry struct {
 	ID        string  `json:"id"`
@@ -27,9 +34,9 @@
 
 // endpointStates maps the states of discovery to those of the decision module.
 var endpointStates = map[string]balance.EndpointState{
-	"ready":    balance.EndpointReady,
-	"draining": balance.EndpointDraining,
-	"gone":     balance.EndpointRemoved,
+	StateReady:    balance.EndpointReady,
+	StateDraining: balance.EndpointDraining,
+	StateRemoved:  balance.EndpointRemoved,
 }
 
 // Balance converts the entry to the type of the decision module.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -7,9 +7,6 @@
 	"limeladder/internal/config"
 )
 
-// stateRemoved is the state of an entry that a change removes from the list.
-const stateRemoved = "gone"
-
 // Source is the way in which a list reached this process.
 type Source uint8
 
@@ -97,7 +94,7 @@
 
 func (v *View) apply(event config.EndpointList) {
 	for _, entry := range event.Endpoints {
-		if entry.State == stateRemoved {
+		if entry.State == config.StateRemoved {
 			delete(v.byID, entry.ID)
 		} else {
 			v.byID[entry.ID] = entry
