The processes of a hot restart know of each other's writes, and run none of them again

Cause: each process knew only its own ids, and the shared folder is looked at every 100 ms, which is too late.

Change: the processes share the ids in memory without a name in a file system, so that no access waits for a disk. A write is claimed there by an atomic operation before it is accepted; its claim is released with its answer, or kept for 10 s if it may have run for a client that has left. The ids are bounded, and the memory is sealed against being shortened.

--- a/cmd/limeladder/core.go
+++ b/cmd/limeladder/core.go
@@ -24,6 +24,7 @@
 	d.pool = backend.New(d.loop, d.engine, d.limits, d.log)
 	d.watcher = discovery.New(d.loop, d.engine, d.limits, d.log, cfg.Discovery, d)
 	d.core.Connect(d.pool, d.watcher)
+	d.core.ShareRequestIDs(d.hotRestart.requestIDs)
 	return nil
 }
 
--- a/cmd/limeladder/daemon.go
+++ b/cmd/limeladder/daemon.go
@@ -110,5 +110,8 @@
 	d.listSaver.close()
 	d.closeStore()
 	d.engine.Stop()
+	if err := d.hotRestart.requestIDs.Close(); err != nil {
+		d.log.Warn("request ids not closed", "error", err)
+	}
 	d.hotRestart.shared.Close()
 }
--- a/cmd/limeladder/hot_restart.go
+++ b/cmd/limeladder/hot_restart.go
@@ -17,6 +17,8 @@
 // hotRestart connects this process to the other process of the same router: the one it replaces or is replaced by.
 type hotRestart struct {
 	shared *hotrestart.SharedState
+	// requestIDs are the ids of writes that this process and the other one have accepted, nil if none are shared.
+	requestIDs *hotrestart.RequestIDs
 	// otherProcess is true while another process of this router is alive.
 	otherProcess bool
 	// aloneLimits are the limits in force while there is no other process.
@@ -29,6 +31,7 @@
 	d.hotRestart.aloneLimits = d.limits
 	shared, previous := hotrestart.Open(os.Getenv("TMPDIR"), cfg.Listen, d.limits.Discovery.KnownEndpoints, d.log)
 	d.hotRestart.shared = shared
+	d.openRequestIDs()
 	if !shared.StartedAlone() {
 		d.hotRestart.otherProcess = true
 		d.log.Info("another process of this router is serving")
@@ -37,6 +40,16 @@
 	return previous
 }
 
+// openRequestIDs opens the ids that are shared with the other process of this router. Without them the router serves
+// too.
+func (d *daemon) openRequestIDs() {
+	ids, err := d.hotRestart.shared.OpenRequestIDs()
+	if err != nil {
+		d.log.Warn("request ids not shared", "error", err)
+	}
+	d.hotRestart.requestIDs = ids
+}
+
 // watchOtherProcess starts to watch the shared state for changes by the other process.
 func (d *daemon) watchOtherProcess() {
 	d.hotRestart.shared.Watch(d.limits.HotRestart.PollInterval, d.loop.PostUrgent, d)
--- a/cmd/limeladder/hot_restart_test.go
+++ b/cmd/limeladder/hot_restart_test.go
@@ -246,3 +246,43 @@
 		t.Errorf("the write ran %d times, want once", runs)
 	}
 }
+
+// As TestDepartedWriteIsNotRunByTheOtherProcess, but the client comes again once the old process has ended: in order,
+// or killed while the write runs.
+func TestDepartedWriteIsNotRunOnceTheOtherProcessHasEnded(t *testing.T) {
+	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		t.Run(signal.String(), func(t *testing.T) {
+			t.Parallel()
+			begun := make(chan bool, 9)
+			router := newRouterProcess(t, func(_ byte, id string) testserver.Act {
+				if id != "same" {
+					return testserver.Act{}
+				}
+				begun <- true
+				return testserver.Act{Delay: 300 * time.Millisecond}
+			})
+			router.writeFile("deploy.toml", "")
+			start := router.useInheritedSocket()
+			old := start()
+			client := testserver.Dial(t, router.address)
+			client.Send(queryMessage(statement("same", "job")))
+			<-begun
+			start()
+			client.Close()
+			signalProcess(t, old, signal)
+			_ = old.Wait() // how a killed process ended does not matter
+			again := testserver.Dial(t, router.address)
+			again.Send(queryMessage(statement("same", "job")))
+			if answer := again.Until('Z'); answer.Value != "" {
+				t.Errorf("got answer %+v, want an error", answer)
+			}
+			again.Send(queryMessage(statement("other", "job")))
+			if answer := again.Until('Z'); answer.Value == "" {
+				t.Errorf("another write: got answer %+v, want a value", answer)
+			}
+			if runs := router.primary.Runs("same"); runs > 1 {
+				t.Errorf("the write ran %d times, want once", runs)
+			}
+		})
+	}
+}
--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -46,6 +46,7 @@
 	return req.id, nil
 }
 
+// validate returns an error for a request that can't be accepted. It claims the id of any other request.
 func (r *Router) validate(received *Request) error {
 	if _, known := r.classes[received.Class]; !known {
 		return ErrUnknownClass
@@ -60,6 +61,9 @@
 	if r.mustRunOnce(received.Class) && r.departedWrites.contains(received.ClientRequestID, r.loop.Now()) {
 		return ErrDuplicateRequest
 	}
+	if !r.claimID(received) {
+		return ErrDuplicateRequest
+	}
 	return nil
 }
 
@@ -132,5 +136,6 @@
 	req.finished = true
 	if !req.keepsID {
 		delete(r.openClientRequestIDs, req.ClientRequestID)
+		r.releaseClaim(&req.Request)
 	}
 }
--- a/internal/router/record.go
+++ b/internal/router/record.go
@@ -127,5 +127,8 @@
 	delete(r.openClientRequestIDs, req.ClientRequestID)
 	if req.attempts.mayHaveRun || req.attempts.hasSucceeded {
 		r.departedWrites.add(req.ClientRequestID, r.loop.Now())
+		r.keepClaim(&req.Request)
+	} else {
+		r.releaseClaim(&req.Request)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,6 +39,7 @@
 	inFlight             map[string]*request // by request.id
 	openClientRequestIDs map[string]bool     // of unanswered requests
 	departedWrites       departedWrites
+	sharedIDs            SharedRequestIDs // nil = no ids are shared with another process
 	streamed             streamedResponses
 	lastRequestNumber    uint64
 	shutdownDeadline     time.Duration // latest answer time of newly accepted requests, 0 = no limit
