Records that are spooled in a second outage are not deleted by the next start

Cause: segments were numbered from the first one again once the spool was empty, and the saved cursor still had the numbers of the first outage. Prepend moved the cursor only after it had written a segment below it, so a kill in between lost that one too.

Change: a number is used once in a folder; the next one follows the highest that a segment or the saved cursor has. Prepend moves the cursor first.

--- a/internal/spool/append.go
+++ b/internal/spool/append.go
@@ -90,15 +90,13 @@
 
 // beginSegment creates a new segment after all others.
 func (s *Spool) beginSegment() error {
-	number := uint64(firstSegment)
-	if len(s.segments) > 0 {
-		number = s.segments[len(s.segments)-1].number + 1
-	}
+	number := s.lastNumber + 1
 	file, err := s.options.CreateFile(s.path(number))
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrDisk, err)
 	}
 	s.newest = file
+	s.lastNumber = number
 	s.segments = append(s.segments, segment{number: number})
 	return nil
 }
@@ -136,10 +134,15 @@
 	if len(msgs) == 0 {
 		return nil
 	}
-	number := uint64(firstSegment)
+	number := s.lastNumber + 1
 	if len(s.segments) > 0 {
 		number = s.segments[0].number - 1
 	}
+	// The saved cursor is after the new segment, which the next start would remove. If the process is killed now, the next
+	// start sends the delivered part of the oldest segment again.
+	if err := s.writeCursor(cursor{segment: number}); err != nil {
+		return err
+	}
 	var p []byte
 	for _, msg := range msgs {
 		p = s.appendRecord(p, msg)
@@ -163,6 +166,7 @@
 		}
 		s.removeOldest()
 	}
+	s.lastNumber = max(s.lastNumber, number)
 	s.segments = append([]segment{{number: number, size: int64(len(p))}}, s.segments...)
 	s.deliveredOffset = 0
 	s.readOffset = 0
--- a/internal/spool/cursor.go
+++ b/internal/spool/cursor.go
@@ -27,8 +27,12 @@
 	if len(s.segments) == 0 {
 		return nil
 	}
-	p := binary.BigEndian.AppendUint64(nil, s.segments[0].number)
-	p = binary.BigEndian.AppendUint64(p, uint64(s.deliveredOffset))
+	return s.writeCursor(cursor{segment: s.segments[0].number, offset: s.deliveredOffset})
+}
+
+func (s *Spool) writeCursor(at cursor) error {
+	p := binary.BigEndian.AppendUint64(nil, at.segment)
+	p = binary.BigEndian.AppendUint64(p, uint64(at.offset))
 	p = binary.BigEndian.AppendUint32(p, crc32.Checksum(p, s.checksums))
 	path := filepath.Join(s.dir, cursorFile)
 	if err := os.WriteFile(path+".new", p, fileMode); err != nil {
@@ -57,6 +61,7 @@
 	if !ok {
 		return
 	}
+	s.lastNumber = max(s.lastNumber, at.segment)
 	for len(s.segments) > 0 && s.segments[0].number < at.segment {
 		s.removeOldest()
 	}
--- a/internal/spool/segment.go
+++ b/internal/spool/segment.go
@@ -62,6 +62,9 @@
 		s.segments = append(s.segments, segment{number: number, size: info.Size()})
 	}
 	slices.SortFunc(s.segments, func(a, b segment) int { return int(int64(a.number) - int64(b.number)) })
+	if len(s.segments) > 0 {
+		s.lastNumber = max(s.lastNumber, s.segments[len(s.segments)-1].number)
+	}
 	return nil
 }
 
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -71,6 +71,10 @@
 	lock      *os.File
 	segments  []segment // oldest first
 
+	// lastNumber is the highest number that a segment of the folder has had. No number is used again: the saved cursor
+	// may still say that the segment which had it is delivered.
+	lastNumber uint64
+
 	newest   File // the newest segment, nil = none is open for writing
 	unsynced bool // the newest segment has writes that were not flushed to the disk
 
@@ -136,7 +140,7 @@
 	if opt.CreateFile == nil {
 		opt.CreateFile = createFile
 	}
-	s := &Spool{dir: dir, options: opt, checksums: checksumTable(), lock: lock}
+	s := &Spool{dir: dir, options: opt, checksums: checksumTable(), lock: lock, lastNumber: firstSegment - 1}
 	if err := s.findSegments(); err != nil {
 		releaseLock(lock)
 		return nil, err
