A process that starts alone opens no set of request ids that another one has left

Cause: it opened the memory of such a set and dropped it without closing it, if the process that the file names still ran.

Change: it only removes the files.

Measured: the tests of internal/hotrestart pass.

--- a/internal/hotrestart/request_ids.go
+++ b/internal/hotrestart/request_ids.go
@@ -76,17 +76,18 @@
 	return ids, nil
 }
 
-// joinRequestIDs opens the set of another process. It returns nil if there is none, and removes the files of processes
-// that have ended.
+// joinRequestIDs opens the set of another process. It returns nil if there is none, and removes the files that processes
+// which were killed have left.
 func (s *SharedState) joinRequestIDs() *RequestIDs {
 	paths, err := filepath.Glob(s.folder.file(requestIDsFilePrefix + "*"))
 	if err != nil {
 		return nil
 	}
 	for _, path := range paths {
-		ids, err := openRequestIDs(path)
-		if err == nil && !s.startedAlone {
-			return ids
+		if !s.startedAlone {
+			if ids, err := openRequestIDs(path); err == nil {
+				return ids
+			}
 		}
 		_ = os.Remove(path) // the file is small, and the next start retries
 	}
