--- a/internal/hotrestart/request_ids.go
+++ b/internal/hotrestart/request_ids.go
@@ -76,8 +76,8 @@
 	return ids, nil
 }
 
-// joinRequestIDs opens the set of another process. It returns nil if there is none, and removes the files that processes
-// which were killed have left.
+// joinRequestIDs opens the set of another process. It returns nil if there is none, and removes the files that killed
+// processes have left.
 func (s *SharedState) joinRequestIDs() *RequestIDs {
 	paths, err := filepath.Glob(s.folder.file(requestIDsFilePrefix + "*"))
 	if err != nil {
